node: fix the events, effects and messages of the reducers

The boundary comes first, since all parts and any outside harness are driven through it. Ways weighed: callbacks from the decisions into the shell (order then hangs on goroutines), a reducer for each connection (leases and grants would need locks), and one reducer for each process with effects as data, which is taken.

--- /dev/null
+++ b/cmd/kingcupknotd/main.go
@@ -0,0 +1,4 @@
+// Kingcupknotd is the daemon on each VM of the system.
+package main
+
+func main() {}
--- /dev/null
+++ b/node/event.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// Event is one thing that happened, and when.
+type Event struct {
+	// Now is the process's clock. Invariant: it never goes back.
+	Now   catalog.Instant
+	Input Input
+}
+
+// Input is the content of an event.
+type Input interface{ input() }
+
+// TimerFired follows SetTimer. A spare one does no harm.
+type TimerFired struct{}
+
+// PeerReceived brings a message from another process of the system. The shell
+// has proved the sender and checked the frame.
+type PeerReceived struct {
+	From    catalog.VMID
+	Message wire.Message
+}
+
+// Announced brings an announcement that an upstream sent to this process.
+type Announced struct {
+	Announcement catalog.Announcement
+}
+
+// DrainAsked begins a planned stop.
+type DrainAsked struct{}
+
+// RequestKind says what a request needs of an upstream.
+type RequestKind uint8
+
+// Kinds of request.
+const (
+	// KindRead changes nothing and may run at a replica, and again elsewhere.
+	KindRead RequestKind = iota
+	// KindWrite may change something; it runs at the primary.
+	KindWrite
+	// KindBegin opens a transaction and keeps its connection.
+	KindBegin
+	// KindBeginRead opens a read-only transaction and keeps its connection.
+	KindBeginRead
+	// KindInside runs within an open transaction on the held connection.
+	KindInside
+)
+
+// Class orders the requests that wait for an upstream.
+type Class uint8
+
+// Classes, most urgent first.
+const (
+	ClassBooking Class = iota
+	ClassNormal
+	ClassBrowse
+	Classes
+)
+
+// RequestArrived brings a caller's request. It leads, sooner or later, to
+// exactly one AnswerRequest, unless RequestWithdrawn comes first.
+type RequestArrived struct {
+	Request catalog.RequestID
+	Service catalog.ServiceID
+	Kind    RequestKind
+	Class   Class
+	// Held is the connection the caller's transaction holds, for KindInside.
+	Held catalog.ConnID
+	// Floor is the position that a read must not be older than.
+	Floor catalog.Position
+	// FloorUnknown is set for a session known by its id alone: the floor is
+	// then the primary's position asked for after the request arrived.
+	FloorUnknown bool
+	// MaxAge, if not zero, is the age of data that the read accepts. Floor
+	// holds all the same.
+	MaxAge time.Duration
+	// Deadline is when the caller stops waiting.
+	Deadline catalog.Instant
+}
+
+// RequestWithdrawn says that the caller of a waiting request is gone. The
+// shell sends RequestDone instead if the request already runs.
+type RequestWithdrawn struct {
+	Request catalog.RequestID
+}
+
+// Outcome says how a request ended at its upstream.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// OutcomeCompleted means that the whole answer arrived, be it a result or
+	// the upstream's own error.
+	OutcomeCompleted Outcome = iota
+	// OutcomeNotSent means that no byte of the request left.
+	OutcomeNotSent
+	// OutcomeReadOnly means that the upstream refused to write (25006), so
+	// that nothing ran.
+	OutcomeReadOnly
+	// OutcomeBehind means that the position asked for by Verify was not
+	// reached; the caller saw nothing of the answer.
+	OutcomeBehind
+	// OutcomeNotReady means that the upstream takes no statements for now
+	// (57P03, 53300); nothing ran.
+	OutcomeNotReady
+	// OutcomeLost means that bytes left and the connection broke before the
+	// whole answer arrived.
+	OutcomeLost
+)
+
+// RequestDone follows RunRequest.
+type RequestDone struct {
+	Request catalog.RequestID
+	Conn    catalog.ConnID
+	Outcome Outcome
+	// Position is the upstream's position asked for on the same connection
+	// right behind the request, zero if it was not asked for.
+	Position catalog.Position
+	// AskedAt is when that question was sent.
+	AskedAt catalog.Instant
+	// InTransaction is set while the caller's transaction holds Conn.
+	InTransaction bool
+	// CallerSaw is set once a byte of the answer went to the caller, so that
+	// the request can't be run again elsewhere.
+	CallerSaw bool
+	// CallerGone is set if the caller vanished while the request ran.
+	CallerGone bool
+	// Reusable is set if Conn was read to its end and left clean. ConnLost
+	// follows if it is not.
+	Reusable bool
+}
+
+// TransactionDropped says that the caller of an open transaction is gone. The
+// shell closes the connection; ConnLost follows.
+type TransactionDropped struct {
+	Conn catalog.ConnID
+}
+
+// ConnOpened follows OpenConn.
+type ConnOpened struct {
+	Conn catalog.ConnID
+}
+
+// ConnLost follows OpenConn that failed, CloseConn, or the loss of an open
+// connection, whichever is first, and once for each connection.
+type ConnLost struct {
+	Conn     catalog.ConnID
+	Evidence wire.Evidence
+}
+
+// ProbeDone follows Probe.
+type ProbeDone struct {
+	Conn catalog.ConnID
+	// SentAt is when the question left.
+	SentAt   catalog.Instant
+	Evidence wire.Evidence
+	Role     catalog.Role
+	Position catalog.Position
+}
+
+// Persisted follows Persist.
+type Persisted struct {
+	Token uint64
+}
+
+// Surveyed follows Survey.
+type Surveyed struct {
+	Survey   uint64
+	Instance catalog.InstanceID
+	Evidence wire.Evidence
+	Role     catalog.Role
+	Position catalog.Position
+}
+
+// Promoted follows Promote.
+type Promoted struct {
+	Service  catalog.ServiceID
+	Instance catalog.InstanceID
+	Epoch    catalog.Epoch
+	// OK is set if the instance is a primary now; Position is where it was
+	// at the promotion, in its new term.
+	OK       bool
+	Position catalog.Position
+}
+
+// OperatorAsked brings a command from the operators' HTTP interface. It leads
+// to exactly one OperatorAnswer.
+type OperatorAsked struct {
+	Number  uint64
+	Command Command
+}
+
+func (TimerFired) input()         {}
+func (PeerReceived) input()       {}
+func (Announced) input()          {}
+func (DrainAsked) input()         {}
+func (RequestArrived) input()     {}
+func (RequestWithdrawn) input()   {}
+func (RequestDone) input()        {}
+func (TransactionDropped) input() {}
+func (ConnOpened) input()         {}
+func (ConnLost) input()           {}
+func (ProbeDone) input()          {}
+func (Persisted) input()          {}
+func (Surveyed) input()           {}
+func (Promoted) input()           {}
+func (OperatorAsked) input()      {}
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,157 @@
+// Package wire holds the messages that the processes of the system send each
+// other. They travel as CBOR in WebSocket frames.
+package wire
+
+import (
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// Protocol is the version of the messages; a peer with another one is refused.
+const Protocol = 1
+
+// MaxFrame is the largest frame a peer may send, in bytes.
+const MaxFrame = 4 << 20
+
+// Message is one typed message. Exactly one field is set.
+type Message struct {
+	Report       *Report               `cbor:"1,keyasint,omitempty"`
+	Answer       *Answer               `cbor:"2,keyasint,omitempty"`
+	Revoke       *Revoke               `cbor:"3,keyasint,omitempty"`
+	Fenced       *Fenced               `cbor:"4,keyasint,omitempty"`
+	Announcement *catalog.Announcement `cbor:"5,keyasint,omitempty"`
+	Quorum       *Quorum               `cbor:"6,keyasint,omitempty"`
+	Ask          *Ask                  `cbor:"7,keyasint,omitempty"`
+	Told         *Told                 `cbor:"8,keyasint,omitempty"`
+}
+
+// Evidence says how an attempt to use an upstream ended.
+type Evidence uint8
+
+// Kinds of evidence.
+const (
+	// EvidenceNone means that nothing was tried.
+	EvidenceNone Evidence = iota
+	// EvidenceAlive means that the upstream answered.
+	EvidenceAlive
+	// EvidenceRefused means that the upstream's machine answered and nobody
+	// listens there, or that a connection was reset: the process is gone.
+	EvidenceRefused
+	// EvidenceSilent means that no answer came in time.
+	EvidenceSilent
+)
+
+// Observation is what one entry knows first-hand of one upstream.
+type Observation struct {
+	Service  catalog.ServiceID  `cbor:"1,keyasint"`
+	Instance catalog.InstanceID `cbor:"2,keyasint"`
+	Evidence Evidence           `cbor:"3,keyasint"`
+	// Age is the time since the evidence was gathered.
+	Age time.Duration `cbor:"4,keyasint"`
+	// AliveAge is the time since the upstream last answered this entry, or
+	// negative if it never did.
+	AliveAge time.Duration    `cbor:"5,keyasint"`
+	Role     catalog.Role     `cbor:"6,keyasint"`
+	Position catalog.Position `cbor:"7,keyasint"`
+}
+
+// Want says how many connections to an upstream an entry holds and could use.
+type Want struct {
+	Service  catalog.ServiceID  `cbor:"1,keyasint"`
+	Instance catalog.InstanceID `cbor:"2,keyasint"`
+	// Held counts open and opening connections. Invariant: at most the grant.
+	Held int `cbor:"3,keyasint"`
+	// Wanted is what the entry's present load would use.
+	Wanted int `cbor:"4,keyasint"`
+}
+
+// Report is what an entry tells control, over and over. Its answer renews the
+// entry's leases and grants.
+type Report struct {
+	VM   catalog.VMID   `cbor:"1,keyasint"`
+	Site catalog.SiteID `cbor:"2,keyasint"`
+	// Life numbers the starts of the entry process.
+	Life uint64 `cbor:"3,keyasint"`
+	// Sequence numbers the reports of a life; the answer repeats it.
+	Sequence uint64 `cbor:"4,keyasint"`
+	// Settings is the version in force at the entry.
+	Settings     catalog.Version     `cbor:"5,keyasint"`
+	Observations []Observation       `cbor:"6,keyasint,omitempty"`
+	Wants        []Want              `cbor:"7,keyasint,omitempty"`
+	Services     []catalog.ServiceID `cbor:"8,keyasint,omitempty"`
+	// Leaving is true while the entry drains; it gets no new leases.
+	Leaving bool `cbor:"9,keyasint,omitempty"`
+	// Instances are announcements the entry heard since the last report that
+	// was answered.
+	Instances []catalog.Announcement `cbor:"10,keyasint,omitempty"`
+}
+
+// Lease lets an entry acknowledge writes that ran under one epoch.
+type Lease struct {
+	Primary catalog.Primary `cbor:"1,keyasint"`
+	// Length counts from the moment the entry sent the report that the
+	// answer repeats. Zero tells of a primary without giving a lease.
+	Length time.Duration `cbor:"2,keyasint"`
+}
+
+// Grant lets an entry hold connections to an upstream.
+type Grant struct {
+	Service     catalog.ServiceID  `cbor:"1,keyasint"`
+	Instance    catalog.InstanceID `cbor:"2,keyasint"`
+	Connections int                `cbor:"3,keyasint"`
+	// Length counts as that of a lease does.
+	Length time.Duration `cbor:"4,keyasint"`
+}
+
+// Answer is control's answer to a report.
+type Answer struct {
+	// Leader is the VM that answers as leader or, when Refused is set, the
+	// one to ask instead (empty if unknown).
+	Leader   catalog.VMID `cbor:"1,keyasint"`
+	Refused  bool         `cbor:"2,keyasint,omitempty"`
+	Sequence uint64       `cbor:"3,keyasint"`
+	Leases   []Lease      `cbor:"4,keyasint,omitempty"`
+	Grants   []Grant      `cbor:"5,keyasint,omitempty"`
+	// Settings are the services as accepted at Version, sent only when the
+	// entry's version is older.
+	Version  catalog.Version   `cbor:"6,keyasint"`
+	Settings []catalog.Service `cbor:"7,keyasint,omitempty"`
+	// Whole says that Settings lists every service.
+	Whole bool `cbor:"8,keyasint,omitempty"`
+}
+
+// Revoke asks an entry to give up its lease for the epoch and all before it.
+type Revoke struct {
+	Service catalog.ServiceID `cbor:"1,keyasint"`
+	Epoch   catalog.Epoch     `cbor:"2,keyasint"`
+	// Drain asks the entry to first let the writes in progress end, for a
+	// planned change of primary.
+	Drain bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Fenced says that an entry will acknowledge nothing of the epoch or before.
+type Fenced struct {
+	VM      catalog.VMID      `cbor:"1,keyasint"`
+	Life    uint64            `cbor:"2,keyasint"`
+	Service catalog.ServiceID `cbor:"3,keyasint"`
+	Epoch   catalog.Epoch     `cbor:"4,keyasint"`
+}
+
+// Quorum carries one message between members of the agreement, encoded by
+// package quorum.
+type Quorum struct {
+	Body []byte `cbor:"1,keyasint"`
+}
+
+// Ask carries an operator's request to the leader.
+type Ask struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint"`
+}
+
+// Told carries the answer to an Ask.
+type Told struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint"`
+}
