--- /dev/null
+++ b/catalog/statements.go
@@ -0,0 +1,31 @@
+package catalog
+
+// Statements are what the system says to upstreams on its own account.
+type Statements struct {
+	// Status returns one row: whether the upstream is a replica (t or f), its
+	// term, and its log position in bytes.
+	Status string
+	// Promote makes a replica the primary of its group.
+	Promote string
+	// Follow tells an upstream to replicate from another. %HOST% and %PORT%
+	// stand for that one's address. Each statement runs on its own.
+	Follow []string
+}
+
+// DefaultStatements fits PostgreSQL.
+func DefaultStatements() Statements {
+	return Statements{
+		Status: "SELECT pg_is_in_recovery(), " +
+			"CASE WHEN pg_is_in_recovery() " +
+			"THEN coalesce((SELECT received_tli FROM pg_stat_wal_receiver), " +
+			"(SELECT timeline_id FROM pg_control_checkpoint())) " +
+			"ELSE ('x' || substr(pg_walfile_name(pg_current_wal_lsn()), 1, 8))::bit(32)::int END, " +
+			"(CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() " +
+			"ELSE pg_current_wal_lsn() END - '0/0')::bigint",
+		Promote: "SELECT pg_promote(true, 5)",
+		Follow: []string{
+			"ALTER SYSTEM SET primary_conninfo = 'host=%HOST% port=%PORT%'",
+			"SELECT pg_reload_conf()",
+		},
+	}
+}
