--- /dev/null
+++ b/quorum/members.go
@@ -0,0 +1,124 @@
+package quorum
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// checkMembers refuses lists that name a VM twice or have no voter.
+func checkMembers(members []Member) error {
+	if countVoters(members) == 0 {
+		return errors.Annotate(ErrInvalidMembers, "no voter")
+	}
+	for i, m := range members {
+		if m.VM == "" {
+			return errors.Annotate(ErrInvalidMembers, "member without a name")
+		}
+		if _, ok := findMember(members[:i], m.VM); ok {
+			return errors.Annotatef(ErrInvalidMembers, "%s is named twice", m.VM)
+		}
+	}
+	return nil
+}
+
+func countVoters(members []Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+func findMember(members []Member, vm catalog.VMID) (Member, bool) {
+	for _, m := range members {
+		if m.VM == vm {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// votersApart counts the voters that are in one list only.
+func votersApart(a, b []Member) int {
+	n := 0
+	for _, m := range a {
+		if m.Voter && !slices.Contains(b, m) {
+			n++
+		}
+	}
+	for _, m := range b {
+		if m.Voter && !slices.Contains(a, m) {
+			n++
+		}
+	}
+	return n
+}
+
+// life finds a VM in the members in force if it is in the given life.
+func (g *Group) life(vm catalog.VMID, incarnation catalog.Incarnation) (Member, bool) {
+	m, ok := findMember(g.members, vm)
+	if !ok || (m.Incarnation != incarnation && g.fault != faultAnyLife) {
+		return Member{}, false
+	}
+	return m, true
+}
+
+// self finds this VM's own life in the members in force.
+func (g *Group) self() (Member, bool) {
+	return g.life(g.own.VM, g.own.Incarnation)
+}
+
+func (g *Group) voter() bool {
+	m, ok := g.self()
+	return ok && m.Voter
+}
+
+func (g *Group) majority() int {
+	return countVoters(g.members)/2 + 1
+}
+
+// adoptMembers puts the last list in the log into force, committed or not.
+func (g *Group) adoptMembers() {
+	g.members, g.membersAt = g.log.membersUpTo(g.log.last())
+	if g.role != roleLeader {
+		return
+	}
+	old := g.peers
+	g.peers = make(map[catalog.VMID]*peer, len(g.members))
+	for _, m := range g.members {
+		if m.VM == g.own.VM {
+			continue
+		}
+		p, ok := old[m.VM]
+		if !ok || p.incarnation != m.Incarnation {
+			p = newPeer(m.Incarnation, g.log.last())
+		}
+		g.peers[m.VM] = p
+	}
+}
+
+// checkChange refuses a list that is more than one step from the one in force.
+func (g *Group) checkChange(members []Member) error {
+	if err := checkMembers(members); err != nil {
+		return errors.Trace(err)
+	}
+	if votersApart(g.members, members) > 1 {
+		return errors.Annotate(ErrInvalidMembers, "more than one voter changes")
+	}
+	for _, m := range members {
+		if !m.Voter || slices.Contains(g.members, m) {
+			continue
+		}
+		// A voter must have its own membership synced before it counts.
+		p, ok := g.peers[m.VM]
+		if m.VM != g.own.VM && (!ok || p.incarnation != m.Incarnation || p.match < g.membersAt) {
+			return errors.Annotatef(ErrInvalidMembers, "%s is not a caught-up learner", m.VM)
+		}
+	}
+	return nil
+}
