--- /dev/null
+++ b/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry makes the logs, metrics and spans of a process.
+package telemetry
