commands: add the operators' command line

A command goes to one VM after another until one gives a final reply. A lost answer is resent with the same change id, which the system answers as it did the first time; so a refused connection or 503 afterwards doesn't turn an unknown outcome into 'nothing changed'. A 5xx other than 503 counts as lost too, since the VM may have passed the command on.

Overlay keys that no section knows are reported once, as unknown.

--- /dev/null
+++ b/cmd/kingcupknot/main.go
@@ -0,0 +1,12 @@
+// Kingcupknot is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/kingcupknot/kingcupknot/commands"
+)
+
+func main() {
+	os.Exit(int(commands.NewDesk().Run(os.Args[1:])))
+}
--- /dev/null
+++ b/commands/config_check.go
@@ -0,0 +1,67 @@
+package commands
+
+import (
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcupknot/kingcupknot/settings"
+)
+
+func init() {
+	register("config check", "Check a base file with its overlays", func(d *Desk) flags.Commander {
+		return &configCheck{desk: d}
+	})
+}
+
+type configCheck struct {
+	desk *Desk
+	Args struct {
+		Base     string   `positional-arg-name:"BASE" required:"yes"`
+		Overlays []string `positional-arg-name:"OVERLAY"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints all findings. It needs no running system.
+func (c *configCheck) Execute([]string) error {
+	overlays := c.Args.Overlays
+	if len(overlays) == 0 {
+		overlays = []string{""}
+	}
+	var all settings.Findings
+	seen := map[settings.Finding]bool{}
+	for _, o := range overlays {
+		_, found := settings.Load(c.Args.Base, o)
+		for _, f := range found {
+			if !seen[f] {
+				all = append(all, f)
+			}
+			seen[f] = true
+		}
+	}
+	if len(all) > 0 {
+		return c.desk.showFindings(all)
+	}
+	if c.desk.Options.JSON {
+		c.desk.printJSON(settings.Findings{})
+		return nil
+	}
+	fmt.Fprintln(c.desk.Stdout, "no findings")
+	return nil
+}
+
+// showFindings prints findings and returns the failure that stands for them.
+func (d *Desk) showFindings(f settings.Findings) error {
+	if d.Options.JSON {
+		d.printJSON(f)
+		return errShown
+	}
+	for _, g := range f {
+		fmt.Fprintln(d.Stdout, g)
+	}
+	return &Failure{
+		Exit: ExitFailed,
+		Text: fmt.Sprintf("the settings have %d findings", len(f)),
+		Next: "correct the files; docs/operators/settings.md describes every key",
+	}
+}
--- /dev/null
+++ b/commands/control_replace.go
@@ -0,0 +1,28 @@
+package commands
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+func init() {
+	register("control replace", "Let the new incarnation of a control VM take the place of the old one",
+		func(d *Desk) flags.Commander { return &controlReplace{desk: d} })
+}
+
+type controlReplace struct {
+	desk        *Desk
+	Incarnation catalog.Incarnation `long:"incarnation" required:"yes" value-name:"N" description:"the new incarnation"`
+	Args        struct {
+		VM catalog.VMID `positional-arg-name:"VM" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute starts the replacement.
+func (c *controlReplace) Execute([]string) error {
+	return c.desk.change(node.Command{Replace: &node.ReplaceMember{
+		VM: c.Args.VM, Incarnation: c.Incarnation,
+	}})
+}
--- /dev/null
+++ b/commands/exchange.go
@@ -0,0 +1,90 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// result says how far one HTTP exchange came.
+type result uint8
+
+const (
+	// notSent means that no connection was made, so nothing was done.
+	notSent result = iota
+	// unavailable means that the VM knows no leader, so nothing was done.
+	unavailable
+	// lostAnswer means that the command may have been carried out.
+	lostAnswer
+	answered
+)
+
+// exchange is one HTTP request and what came of it.
+type exchange struct {
+	result     result
+	status     int
+	body       []byte
+	retryAfter time.Duration
+	err        error
+}
+
+// post makes one attempt, which gets its share of the timeout.
+func (c *Client) post(ctx context.Context, address, path string, body []byte) exchange {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout/time.Duration(len(c.Addresses)+1))
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return exchange{result: notSent, err: err}
+	}
+	q.Header.Set("Content-Type", "application/json")
+	a, err := c.HTTP.Do(q)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return exchange{result: notSent, err: err}
+		}
+		return exchange{result: lostAnswer, err: err}
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
+	if err != nil {
+		return exchange{result: lostAnswer, err: err}
+	}
+	x := exchange{result: answered, status: a.StatusCode, body: text}
+	switch {
+	case a.StatusCode == http.StatusServiceUnavailable:
+		x.result, x.retryAfter = unavailable, retryAfter(a.Header)
+	case a.StatusCode >= http.StatusInternalServerError:
+		x.result = lostAnswer
+		x.err = errors.Errorf("answered %d: %s", a.StatusCode, firstLine(text))
+	}
+	return x
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+func firstLine(text []byte) string {
+	line, _, _ := strings.Cut(strings.TrimSpace(string(text)), "\n")
+	return line
+}
+
+// why says in words why there is no answer.
+func (x exchange) why() string {
+	if x.err == nil {
+		return "not available for now"
+	}
+	return x.err.Error()
+}
--- /dev/null
+++ b/commands/primary_switch.go
@@ -0,0 +1,27 @@
+package commands
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+func init() {
+	register("primary switch", "Plan a change of primary", func(d *Desk) flags.Commander {
+		return &primarySwitch{desk: d}
+	})
+}
+
+type primarySwitch struct {
+	desk *Desk
+	To   catalog.InstanceID `long:"to" value-name:"UPSTREAM" description:"the new primary (default: the replica that is furthest on)"`
+	Args struct {
+		Service catalog.ServiceID `positional-arg-name:"SERVICE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute starts the change.
+func (c *primarySwitch) Execute([]string) error {
+	return c.desk.change(node.Command{Switch: &node.SwitchPrimary{Service: c.Args.Service, Instance: c.To}})
+}
--- /dev/null
+++ b/commands/registry.go
@@ -0,0 +1,57 @@
+package commands
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+)
+
+// command is one command of the registry.
+type command struct {
+	// path is the group and the name, such as "config check", or just a name.
+	path  string
+	short string
+	build func(*Desk) flags.Commander
+}
+
+var registry []command
+
+// groups describe the first words of two-word commands.
+var groups = map[string]string{
+	"config":   "Check, show and change the settings",
+	"service":  "List, create and remove services",
+	"site":     "Look at the sites",
+	"upstream": "List and drain upstreams",
+	"primary":  "Change the primary of a service",
+	"control":  "List and replace control VMs",
+	"session":  "Look into sessions",
+}
+
+// register is called by the init function of each command's file.
+func register(path, short string, build func(*Desk) flags.Commander) {
+	registry = append(registry, command{path: path, short: short, build: build})
+}
+
+// addCommands puts the registry into a parser, in alphabetical order.
+func addCommands(p *flags.Parser, d *Desk) error {
+	sorted := append([]command{}, registry...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].path < sorted[j].path })
+	for _, c := range sorted {
+		parent := p.Command
+		group, name, two := strings.Cut(c.path, " ")
+		if !two {
+			name = group
+		} else if parent = p.Find(group); parent == nil {
+			var err error
+			if parent, err = p.AddCommand(group, groups[group], "", &struct{}{}); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		if _, err := parent.AddCommand(name, c.short, "", c.build(d)); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/commands/service_remove.go
@@ -0,0 +1,26 @@
+package commands
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+func init() {
+	register("service remove", "Remove a service", func(d *Desk) flags.Commander {
+		return &serviceRemove{desk: d}
+	})
+}
+
+type serviceRemove struct {
+	desk *Desk
+	Args struct {
+		Service catalog.ServiceID `positional-arg-name:"SERVICE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute removes the service.
+func (c *serviceRemove) Execute([]string) error {
+	return c.desk.change(node.Command{Remove: &node.RemoveService{Service: c.Args.Service}})
+}
--- /dev/null
+++ b/commands/upstream_drain.go
@@ -0,0 +1,27 @@
+package commands
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+func init() {
+	register("upstream drain", "Keep new work from an upstream, or let it back", func(d *Desk) flags.Commander {
+		return &upstreamDrain{desk: d}
+	})
+}
+
+type upstreamDrain struct {
+	desk *Desk
+	Off  bool `long:"off" description:"let the upstream have work again"`
+	Args struct {
+		Upstream catalog.InstanceID `positional-arg-name:"UPSTREAM" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute starts or ends the drain.
+func (c *upstreamDrain) Execute([]string) error {
+	return c.desk.change(node.Command{Drain: &node.DrainUpstream{Instance: c.Args.Upstream, Off: c.Off}})
+}
--- /dev/null
+++ b/commands/version.go
@@ -0,0 +1,46 @@
+package commands
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+func init() {
+	register("version", "Print the version of this program", func(d *Desk) flags.Commander {
+		return &version{desk: d}
+	})
+}
+
+type version struct {
+	desk *Desk
+}
+
+type versionInfo struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision,omitempty"`
+	Go       string `json:"go"`
+	Protocol int    `json:"protocol"`
+}
+
+// Execute prints the version.
+func (c *version) Execute([]string) error {
+	v := versionInfo{Version: "unknown", Protocol: wire.Protocol}
+	if b, ok := debug.ReadBuildInfo(); ok {
+		v.Version, v.Go = b.Main.Version, b.GoVersion
+		for _, s := range b.Settings {
+			if s.Key == "vcs.revision" {
+				v.Revision = s.Value
+			}
+		}
+	}
+	if c.desk.Options.JSON {
+		c.desk.printJSON(v)
+		return nil
+	}
+	fmt.Fprintf(c.desk.Stdout, "kingcupknot %s, protocol %d, %s\n", v.Version, v.Protocol, v.Go)
+	return nil
+}
--- a/settings/merge.go
+++ b/settings/merge.go
@@ -14,24 +14,24 @@
 	"security.caller": "user",
 }
 
-// local are the top-level keys that an overlay may change. All others are the
-// same at every site.
-var local = map[string]bool{
-	"site":   true,
-	"vm":     true,
-	"log":    true,
-	"trace":  true,
-	"limits": true,
+// shared are the top-level keys that are the same at every site, so that an
+// overlay must not change them.
+var shared = map[string]bool{
+	"sites":      true,
+	"timings":    true,
+	"control":    true,
+	"security":   true,
+	"statements": true,
+	"service":    true,
 }
 
 // clashes reports what an overlay changes though all sites must share it.
 func clashes(base, overlay *value) Findings {
 	var out Findings
 	for _, k := range sortedKeys(overlay.table) {
-		if local[k] {
-			continue
+		if shared[k] {
+			out = append(out, differences(k, base.table[k], overlay.table[k])...)
 		}
-		out = append(out, differences(k, base.table[k], overlay.table[k])...)
 	}
 	return out
 }
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -1,10 +1,10 @@
 package settings
 
 import (
-	"errors"
 	"strconv"
 	"strings"
 
+	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
 )
