settings: find clashes between the overlays of two sites

Each VM reads only its own site's overlay, so a name or an address that two overlays give away is visible only where all of them are at hand; config check takes any number of overlays and now compares them.

go test ./settings ./commands passes.

--- a/commands/config_check.go
+++ b/commands/config_check.go
@@ -24,21 +24,7 @@
 
 // Execute prints all findings. It needs no running system.
 func (c *configCheck) Execute([]string) error {
-	overlays := c.Args.Overlays
-	if len(overlays) == 0 {
-		overlays = []string{""}
-	}
-	var all settings.Findings
-	seen := map[settings.Finding]bool{}
-	for _, o := range overlays {
-		_, found := settings.Load(c.Args.Base, o)
-		for _, f := range found {
-			if !seen[f] {
-				all = append(all, f)
-			}
-			seen[f] = true
-		}
-	}
+	_, all := settings.LoadAll(c.Args.Base, c.Args.Overlays)
 	if len(all) > 0 {
 		return c.desk.showFindings(all)
 	}
--- /dev/null
+++ b/settings/all.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"os"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// LoadAll reads a base file with the overlays of several sites, and also finds
+// what is right in each overlay but clashes between two. Without overlays it
+// reads the base file alone. The settings are in the order of the overlays and
+// nil if there is any finding.
+func LoadAll(base string, overlays []string) ([]*Settings, Findings) {
+	return Loader{ReadFile: os.ReadFile, Getenv: os.Getenv}.LoadAll(base, overlays)
+}
+
+// LoadAll reads several overlays as the function LoadAll does.
+func (l Loader) LoadAll(base string, overlays []string) ([]*Settings, Findings) {
+	if len(overlays) == 0 {
+		overlays = []string{""}
+	}
+	var all []*Settings
+	var findings Findings
+	seen := map[Finding]bool{}
+	for _, o := range overlays {
+		s, found := l.Load(base, o)
+		for _, f := range found {
+			if !seen[f] {
+				findings = append(findings, f)
+			}
+			seen[f] = true
+		}
+		all = append(all, s)
+	}
+	if len(findings) == 0 {
+		findings = across(all)
+	}
+	if len(findings) > 0 {
+		findings.sort()
+		return nil, findings
+	}
+	return all, nil
+}
+
+// across compares the settings of several sites.
+func across(all []*Settings) Findings {
+	var out Findings
+	sites := map[catalog.SiteID]string{}
+	names := map[catalog.VMID]catalog.SiteID{}
+	addresses := map[string]string{}
+	for _, s := range all {
+		from := s.Origins["site"]
+		if other, ok := sites[s.Site]; ok {
+			out = append(out, from.finding("site", "site has another overlay too: "+other))
+			continue
+		}
+		sites[s.Site] = from.File
+		for _, v := range s.VMs {
+			if v.Site != s.Site {
+				continue
+			}
+			key := "vm[" + string(v.Name) + "]."
+			if site, ok := names[v.Name]; ok {
+				out = append(out, s.Origins[key+"name"].finding(key+"name",
+					key+"name is also a VM of site "+string(site)))
+			}
+			names[v.Name] = s.Site
+			out = append(out, s.claims(v, key, addresses)...)
+		}
+	}
+	return out
+}
+
+// claims reports addresses of a VM that VMs of other sites have too.
+func (s *Settings) claims(v VM, key string, taken map[string]string) Findings {
+	var out Findings
+	claim := func(name, address string) {
+		if address == "" {
+			return
+		}
+		if by, ok := taken[address]; ok {
+			out = append(out, s.Origins[key+name].finding(key+name,
+				key+name+" is "+address+", which "+by+" has too"))
+		}
+		taken[address] = key + name
+	}
+	claim("caller-address", v.CallerAddress)
+	claim("peer-address", v.PeerAddress)
+	claim("admin-address", v.AdminAddress)
+	return out
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -112,13 +113,30 @@
 		So(v.CallerAddress, ShouldEqual, "127.0.0.1:9999")
 		So(v.PeerAddress, ShouldEqual, "127.0.0.1:7321")
 		So(s.Origins["vm[muscat-2-entry-1].caller-address"],
-			ShouldResemble, Origin{File: "overlay.toml", Line: 6, Text: "127.0.0.1:9999"})
+			ShouldResemble, Origin{File: "overlay.toml", Line: 6, Column: 1, Text: "127.0.0.1:9999"})
 		So(s.Origins["vm[muscat-2-entry-1].peer-address"].File, ShouldEqual, BaseName)
 		_, err = s.VM("muscat-1-entry-1")
 		So(err, ShouldNotBeNil)
 		_, err = s.VM("muscat-9")
 		So(err, ShouldNotBeNil)
 	})
+	Convey("overlays of two sites may clash", t, func() {
+		const vm = "[[vm]]\nname = \"new\"\nrole = \"entry\"\ncaller-address = \"127.0.0.1:1\"\n" +
+			"peer-address = \"127.0.0.1:%d2\"\nadmin-address = \"127.0.0.1:%d3\"\nsite = \"muscat-%d\"\n"
+		a := &txtar.Archive{}
+		for _, n := range []int{1, 2} {
+			text := fmt.Sprintf("site = \"muscat-%d\"\n"+vm, n, n, n, n)
+			a.Files = append(a.Files, txtar.File{Name: fmt.Sprintf("%d.toml", n), Data: []byte(text)})
+		}
+		all, found := archive(a).LoadAll(BaseName, []string{"1.toml", "2.toml", "1.toml"})
+		So(all, ShouldBeNil)
+		So(found.String(), ShouldEqual, "1.toml:1:1: site has another overlay too: 1.toml\n"+
+			"2.toml:3:1: vm[new].name is also a VM of site muscat-1\n"+
+			"2.toml:5:1: vm[new].caller-address is 127.0.0.1:1, which vm[new].caller-address has too")
+		all, found = archive(a).LoadAll(BaseName, []string{"1.toml"})
+		So(found, ShouldBeEmpty)
+		So(len(all), ShouldEqual, 1)
+	})
 	Convey("secrets stay out of the origins, and the environment wins", t, func() {
 		key := strings.Repeat("ab", keyBytes)
 		s, found := archive(txtar.Parse([]byte("-- environment --\n"+key+"\n"))).Load(BaseName, "")
--- a/settings/table.go
+++ b/settings/table.go
@@ -13,11 +13,17 @@
 type Origin struct {
 	// File is the file, "default" or the name of an environment variable.
 	File string `json:"file"`
-	Line int    `json:"line,omitempty"`
+	// Line and Column count from 1; both are 0 if there is no place in a file.
+	Line   int `json:"line,omitempty"`
+	Column int `json:"column,omitempty"`
 	// Text is the value, or a placeholder for what must stay secret.
 	Text string `json:"text"`
 }
 
+func (o Origin) finding(key, text string) Finding {
+	return Finding{File: o.File, Line: o.Line, Column: o.Column, Key: key, Text: text}
+}
+
 // DefaultOrigin stands for the file of values that no file states.
 const DefaultOrigin = "default"
 
@@ -75,7 +81,7 @@
 func (t *table) origin(name string, v *value, text string) {
 	o := Origin{File: DefaultOrigin, Text: text}
 	if v != nil {
-		o.File, o.Line = v.place.file, v.place.line
+		o.File, o.Line, o.Column = v.place.file, v.place.line, v.place.column
 	}
 	t.report.origins[join(t.key, name)] = o
 }
