--- /dev/null
+++ b/settings/docs_test.go
@@ -0,0 +1,26 @@
+package settings
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestDocs proves that the operators' page names every key.
+func TestDocs(t *testing.T) {
+	text, err := os.ReadFile("../docs/operators/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	element := regexp.MustCompile(`\[[^]]*\]`)
+	for key := range Default().Origins {
+		plain := element.ReplaceAllString(key, "")
+		last := plain[strings.LastIndex(plain, ".")+1:]
+		page := string(text)
+		if !strings.Contains(page, "| `"+plain+"`") && !strings.Contains(page, "| `"+last+"`") &&
+			!strings.HasPrefix(plain, "control.members.") {
+			t.Errorf("the page doesn't describe %s", key)
+		}
+	}
+}
