--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -72,7 +72,9 @@
 	d.clientMade = func(c *Client) {
 		left := rounds
 		c.Sleep = func(_ context.Context, pause time.Duration) bool {
-			ts.Logf("sleep %s", pause)
+			name := ts.MkAbs("pauses")
+			seen, _ := os.ReadFile(name)
+			ts.Check(os.WriteFile(name, append(seen, []byte(pause.String()+"\n")...), 0o600))
 			left--
 			return left >= 0
 		}
@@ -82,7 +84,8 @@
 	}
 }
 
-// TestCommands runs the scripts of testdata. The environment has the addresses
+// TestCommands runs the scripts of testdata. The file "pauses" gets a line for
+// each pause between two rounds, which is not waited for in truth. The environment has the addresses
 // of two fakes, A and B, and of a VM that is GONE.
 func TestCommands(t *testing.T) {
 	testscript.Run(t, testscript.Params{
--- a/commands/config_show.go
+++ b/commands/config_show.go
@@ -85,14 +85,14 @@
 		keys = append(keys, k)
 	}
 	sort.Strings(keys)
-	t := newSheet(d.Stdout, "KEY", "VALUE", "FROM")
+	t := newSheet(d.Stdout, "KEY", "FROM", "VALUE")
 	for _, k := range keys {
 		o := origins[k]
 		from := o.File
 		if o.Line > 0 {
 			from = fmt.Sprintf("%s:%d", o.File, o.Line)
 		}
-		t.row(k, o.Text, from)
+		t.row(k, from, o.Text)
 	}
 	t.end()
 }
