--- /dev/null
+++ b/statement/classify.go
@@ -0,0 +1,236 @@
+package statement
+
+import (
+	"strings"
+
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+// writingFunctions change something although a SELECT may call them. A name
+// that ends in an underscore stands for all that begin so.
+var writingFunctions = []string{
+	"NEXTVAL", "SETVAL", "LO_", "PG_NOTIFY", "PG_TRY_ADVISORY_", "PG_ADVISORY_", "TXID_CURRENT",
+	"PG_CURRENT_XACT_ID", "PG_CREATE_", "PG_DROP_", "PG_LOGICAL_", "PG_REPLICATION_", "PG_SWITCH_WAL",
+	"PG_TERMINATE_BACKEND", "PG_CANCEL_BACKEND", "PG_PROMOTE", "SET_CONFIG", "DBLINK", "DBLINK_",
+}
+
+const adviceTemporary = "temporary tables belong to one connection; use WITH in the query, or an ordinary table"
+
+// classify says what one statement is.
+func classify(t []token) Statement {
+	for len(t) > 0 && t[0].Text == "(" {
+		t = t[1:]
+	}
+	if len(t) == 0 {
+		return Statement{Kind: node.KindWrite}
+	}
+	switch t[0].Text {
+	case "SELECT", "VALUES", "TABLE", "WITH":
+		return classifyQuery(t)
+	case "SHOW":
+		return classifyShow(t)
+	case "EXPLAIN":
+		return classifyExplain(t)
+	case "COPY":
+		return classifyCopy(t)
+	case "SET":
+		return classifySet(t)
+	case "RESET", "DISCARD", "DEALLOCATE":
+		return classifyReset(t)
+	}
+	if s, ok := classifyTransaction(t); ok {
+		return s
+	}
+	return classifyOther(t)
+}
+
+func classifyQuery(t []token) Statement {
+	s := Statement{Kind: node.KindRead}
+	for i, k := range t {
+		if k.Kind != tokenWord && k.Kind != tokenQuotedName {
+			continue
+		}
+		if isAdvisoryLock(k, t[i+1:]) {
+			return refuse("advisory locks belong to one connection, which callers share; lock a row with SELECT ... FOR UPDATE")
+		}
+		if k.Text == "INTO" && strings.HasPrefix(word(t, i+1), "TEMP") {
+			return refuse(adviceTemporary)
+		}
+		if k.Kind == tokenWord && changesData(k.Text) || callsWriter(k, t[i+1:]) {
+			s.Kind = node.KindWrite
+		}
+	}
+	return s
+}
+
+// changesData reports whether the word makes a query change or lock data.
+func changesData(word string) bool {
+	switch word {
+	case "INSERT", "UPDATE", "DELETE", "MERGE", "INTO", "SHARE":
+		return true
+	}
+	return false
+}
+
+func callsWriter(k token, rest []token) bool {
+	if len(rest) == 0 || rest[0].Text != "(" {
+		return false
+	}
+	name := strings.ToUpper(k.Text)
+	for _, f := range writingFunctions {
+		if name == f || strings.HasSuffix(f, "_") && strings.HasPrefix(name, f) {
+			return true
+		}
+	}
+	return false
+}
+
+func isAdvisoryLock(k token, rest []token) bool {
+	name := strings.ToUpper(k.Text)
+	if len(rest) == 0 || rest[0].Text != "(" || strings.Contains(name, "_XACT_") {
+		return false
+	}
+	return strings.HasPrefix(name, "PG_ADVISORY_") || strings.HasPrefix(name, "PG_TRY_ADVISORY_")
+}
+
+func classifyExplain(t []token) Statement {
+	analyze := false
+	for i := 1; i < len(t); i++ {
+		switch t[i].Text {
+		case "ANALYZE", "ANALYSE":
+			analyze = true
+		case "SELECT", "WITH", "VALUES", "TABLE", "INSERT", "UPDATE", "DELETE", "MERGE", "EXECUTE", "CREATE":
+			if analyze {
+				return classify(t[i:])
+			}
+			return Statement{Kind: node.KindRead}
+		}
+	}
+	return Statement{Kind: node.KindWrite}
+}
+
+func classifyCopy(t []token) Statement {
+	for i, k := range t {
+		if k.Depth > 0 || k.Kind != tokenWord {
+			continue
+		}
+		switch k.Text {
+		case "FROM":
+			in := i+1 < len(t) && t[i+1].Text == "STDIN"
+			return Statement{Kind: node.KindWrite, CopyIn: in}
+		case "TO":
+			if i+1 < len(t) && t[i+1].Text == "STDOUT" {
+				return classifyCopied(t[1:i])
+			}
+		}
+	}
+	return Statement{Kind: node.KindWrite}
+}
+
+// classifyCopied classifies what COPY TO copies: a table or a query.
+func classifyCopied(t []token) Statement {
+	if len(t) > 0 && t[0].Text == "(" {
+		return classify(t)
+	}
+	return Statement{Kind: node.KindRead}
+}
+
+func classifyTransaction(t []token) (Statement, bool) {
+	second := word(t, 1)
+	switch t[0].Text {
+	case "BEGIN":
+		return begin(t), true
+	case "START":
+		return begin(t), true
+	case "COMMIT", "END":
+		if second == "PREPARED" {
+			return Statement{Kind: node.KindWrite}, true
+		}
+		return end(t, "COMMIT"), true
+	case "ROLLBACK", "ABORT":
+		if second == "TO" || word(t, 2) == "TO" {
+			return Statement{Kind: node.KindWrite}, true
+		}
+		if second == "PREPARED" {
+			return Statement{Kind: node.KindWrite}, true
+		}
+		return end(t, "ROLLBACK"), true
+	}
+	return Statement{}, false
+}
+
+func begin(t []token) Statement {
+	for i := range t {
+		if word(t, i) == "READ" && word(t, i+1) == "ONLY" {
+			return Statement{Kind: node.KindBeginRead, ReadOnly: true}
+		}
+	}
+	return Statement{Kind: node.KindBegin}
+}
+
+// end classifies the end of a transaction. AND CHAIN opens the next one.
+func end(t []token, tag string) Statement {
+	for i := range t {
+		if word(t, i) == "AND" && word(t, i+1) == "CHAIN" {
+			return Statement{Kind: node.KindWrite, Commit: tag == "COMMIT"}
+		}
+	}
+	return Statement{Action: ActionEnd, Kind: node.KindWrite, Tag: tag, Commit: tag == "COMMIT"}
+}
+
+func classifyOther(t []token) Statement {
+	switch t[0].Text {
+	case "LISTEN", "UNLISTEN":
+		if word(t, 0) == "UNLISTEN" && len(t) > 1 && t[1].Text == "*" {
+			return Statement{Action: ActionForget, Tag: "UNLISTEN"}
+		}
+		return refuse("LISTEN needs a connection of its own; connect to the upstream directly for notifications")
+	case "PREPARE":
+		if word(t, 1) == "TRANSACTION" {
+			return Statement{Kind: node.KindWrite, Commit: true}
+		}
+		return refuse("PREPARE in SQL belongs to one connection; prepare through the protocol of your driver")
+	case "EXECUTE":
+		return refuse("EXECUTE in SQL belongs to one connection; prepare through the protocol of your driver")
+	case "LOAD":
+		return refuse("LOAD belongs to one connection; load the library in the upstream's settings")
+	case "DECLARE":
+		return classifyDeclare(t)
+	case "CREATE":
+		return classifyCreate(t)
+	}
+	return Statement{Kind: node.KindWrite}
+}
+
+func classifyDeclare(t []token) Statement {
+	for i := range t {
+		if word(t, i) == "WITH" && word(t, i+1) == "HOLD" {
+			return refuse("a cursor WITH HOLD outlives its transaction; read it to its end within the transaction")
+		}
+	}
+	return Statement{Kind: node.KindWrite}
+}
+
+func classifyCreate(t []token) Statement {
+	for i := 1; i < len(t) && i < 4; i++ {
+		switch word(t, i) {
+		case "TEMP", "TEMPORARY":
+			return refuse(adviceTemporary)
+		case "TABLE", "VIEW", "SEQUENCE":
+			return Statement{Kind: node.KindWrite}
+		}
+	}
+	return Statement{Kind: node.KindWrite}
+}
+
+func refuse(text string) Statement {
+	return Statement{Action: ActionRefuse, Kind: node.KindWrite, Refusal: text}
+}
+
+// word returns the word at i, or nothing if there is none.
+func word(t []token, i int) string {
+	if i < 0 || i >= len(t) || t[i].Kind != tokenWord {
+		return ""
+	}
+	return t[i].Text
+}
--- /dev/null
+++ b/statement/setting.go
@@ -0,0 +1,146 @@
+package statement
+
+import (
+	"strings"
+
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+// OwnPrefix begins the names of kingcupknot's own settings.
+const OwnPrefix = "kingcupknot."
+
+// freeSettings may have any value: they change no answer.
+var freeSettings = map[string]bool{
+	"application_name":    true,
+	"extra_float_digits":  true,
+	"client_min_messages": true,
+}
+
+// fixedSettings are accepted only with the value that upstreams use anyway.
+var fixedSettings = map[string][]string{
+	"client_encoding":                     {"utf8", "utf-8", "unicode"},
+	"datestyle":                           {"iso", "iso, mdy"},
+	"timezone":                            {"utc", "default", "gmt", "etc/utc"},
+	"standard_conforming_strings":         {"on", "true", "yes", "1"},
+	"intervalstyle":                       {"postgres"},
+	"idle_in_transaction_session_timeout": {"0"},
+	"statement_timeout":                   {"0"},
+	"lock_timeout":                        {"0"},
+}
+
+// Carried reports whether the entry can give a setting a value for a caller.
+// The other result says what to do if it can't.
+func Carried(name, value string) (bool, string) {
+	if strings.HasPrefix(name, OwnPrefix) || freeSettings[name] {
+		return true, ""
+	}
+	for _, v := range fixedSettings[name] {
+		if strings.EqualFold(v, value) {
+			return true, ""
+		}
+	}
+	if name == "statement_timeout" {
+		return false, "set kingcupknot.deadline in place of statement_timeout, or use SET LOCAL in a transaction"
+	}
+	return false, "setting " + name + " would stay on a connection that callers share; " +
+		"use SET LOCAL in a transaction, or ALTER ROLE at the upstream"
+}
+
+func classifySet(t []token) Statement {
+	i := 1
+	switch word(t, 1) {
+	case "LOCAL":
+		if name, _ := settingName(t[2:]); strings.HasPrefix(name, OwnPrefix) {
+			return refuse("SET LOCAL has no effect on settings of kingcupknot; use SET")
+		}
+		s := Statement{Kind: node.KindWrite}
+		return s
+	case "TRANSACTION", "CONSTRAINTS":
+		return Statement{Kind: node.KindWrite}
+	case "SESSION":
+		if word(t, 2) == "CHARACTERISTICS" || word(t, 2) == "AUTHORIZATION" {
+			return refuse("this would stay on a connection that callers share; state it in BEGIN, or connect as the other user")
+		}
+		i = 2
+	case "ROLE":
+		return refuse("a role would stay on a connection that callers share; use SET LOCAL ROLE in a transaction")
+	}
+	name, rest := settingName(t[i:])
+	value := settingValue(rest)
+	if ok, advice := Carried(name, value); !ok {
+		return refuse(advice)
+	}
+	return Statement{Action: ActionSet, Name: name, Value: value, Tag: "SET"}
+}
+
+// settingName reads a name, which may have dots, and returns what follows.
+func settingName(t []token) (string, []token) {
+	if word(t, 0) == "TIME" && word(t, 1) == "ZONE" {
+		return "timezone", t[2:]
+	}
+	var name strings.Builder
+	i := 0
+	for ; i < len(t); i++ {
+		if t[i].Text == "=" || t[i].Text == "TO" && t[i].Kind == tokenWord {
+			i++
+			break
+		}
+		name.WriteString(strings.ToLower(t[i].Text))
+	}
+	return name.String(), t[i:]
+}
+
+// settingValue joins the tokens of a value.
+func settingValue(t []token) string {
+	if len(t) == 1 && t[0].Kind == tokenString {
+		return t[0].Text
+	}
+	var value strings.Builder
+	for i, k := range t {
+		if k.Text == "," {
+			value.WriteString(", ")
+			continue
+		}
+		if i > 0 && t[i-1].Kind == tokenWord && k.Kind == tokenWord {
+			value.WriteByte(' ')
+		}
+		if k.Kind == tokenString {
+			value.WriteString(k.Text)
+			continue
+		}
+		value.WriteString(k.Raw)
+	}
+	return value.String()
+}
+
+func classifyReset(t []token) Statement {
+	all := word(t, 1) == "ALL" || word(t, 2) == "ALL"
+	switch t[0].Text {
+	case "DISCARD":
+		if all {
+			return Statement{Action: ActionForget, Tag: "DISCARD ALL"}
+		}
+		return refuse("DISCARD works on one connection, which callers share; use DISCARD ALL, which the entry answers")
+	case "DEALLOCATE":
+		if all {
+			return Statement{Action: ActionForget, Tag: "DEALLOCATE ALL"}
+		}
+		return refuse("DEALLOCATE in SQL belongs to one connection; close the statement through the protocol of your driver")
+	}
+	if all {
+		return Statement{Action: ActionSet, Tag: "RESET"}
+	}
+	name, _ := settingName(t[1:])
+	if strings.HasPrefix(name, OwnPrefix) || freeSettings[name] || fixedSettings[name] != nil {
+		return Statement{Action: ActionSet, Name: name, Tag: "RESET"}
+	}
+	return refuse("RESET works on a connection that callers share; nothing can be set on it, so leave it out")
+}
+
+func classifyShow(t []token) Statement {
+	name, _ := settingName(t[1:])
+	if strings.HasPrefix(name, OwnPrefix) {
+		return Statement{Action: ActionShow, Name: name, Tag: "SHOW"}
+	}
+	return Statement{Kind: node.KindRead}
+}
--- /dev/null
+++ b/upstream/dial.go
@@ -0,0 +1,50 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+)
+
+// login is how an upstream is connected to.
+type login struct {
+	Address  string
+	User     string
+	Password string
+	Database string
+	Name     string
+}
+
+// dial connects, authenticates and gives up the library's hold on the
+// connection, which is idle then.
+func dial(ctx context.Context, l login) (*pgconn.HijackedConn, error) {
+	host, port, err := net.SplitHostPort(l.Address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "address %q of the upstream", l.Address)
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil {
+		return nil, errors.Annotatef(err, "port of the upstream %q", l.Address)
+	}
+	config, err := pgconn.ParseConfig("host=127.0.0.1 sslmode=disable user=kingcupknot")
+	if err != nil {
+		return nil, errors.Annotate(err, "settings of the connection")
+	}
+	config.Host, config.Port = host, uint16(number)
+	config.User, config.Password, config.Database = l.User, l.Password, l.Database
+	config.Fallbacks = nil
+	config.TLSConfig = nil
+	config.ValidateConnect, config.AfterConnect = nil, nil
+	config.RuntimeParams = map[string]string{"application_name": l.Name, "client_encoding": "UTF8"}
+	conn, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.SyncConn(ctx); err != nil {
+		return nil, err
+	}
+	return conn.Hijack()
+}
--- /dev/null
+++ b/upstream/evidence.go
@@ -0,0 +1,43 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// SQLSTATE codes by which an upstream says that it takes no statements now.
+const (
+	CodeTooManyConnections = "53300"
+	CodeAdminShutdown      = "57P01"
+	CodeCannotConnectNow   = "57P03"
+)
+
+// evidenceOf says what a failed use of a connection tells of the upstream.
+func evidenceOf(err error) wire.Evidence {
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		// The upstream answered, but is not ready to serve.
+		return wire.EvidenceNone
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return wire.EvidenceRefused
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		return wire.EvidenceSilent
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return wire.EvidenceSilent
+	}
+	if errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH) {
+		return wire.EvidenceSilent
+	}
+	return wire.EvidenceRefused
+}
