--- /dev/null
+++ b/listener/auth.go
@@ -0,0 +1,76 @@
+package listener
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+	"github.com/xdg-go/scram"
+)
+
+// mechanism is the one way to authenticate that is offered.
+const mechanism = "SCRAM-SHA-256"
+
+// authenticate lets the caller prove its password, if verifiers were given.
+func (c *caller) authenticate(user string) *fault {
+	verifiers := c.server.options.Callers
+	if verifiers == nil {
+		return nil
+	}
+	failed := &fault{Code: codePassword, Text: "password authentication failed for user " + user, Fatal: true}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		// PostgreSQL takes the name from the startup message.
+		v, ok := verifiers[user]
+		if !ok {
+			return scram.StoredCredentials{}, errors.NotFoundf("user")
+		}
+		return v, nil
+	})
+	if err != nil {
+		return failed
+	}
+	talk := server.NewConversation()
+	if c.exchange(talk) != nil || !talk.Valid() {
+		return failed
+	}
+	return nil
+}
+
+// exchange carries the messages of one conversation.
+func (c *caller) exchange(talk *scram.ServerConversation) error {
+	first, err := c.ask(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}}, pgproto3.AuthTypeSASL)
+	if err != nil {
+		return err
+	}
+	initial, ok := first.(*pgproto3.SASLInitialResponse)
+	if !ok || initial.AuthMechanism != mechanism {
+		return errors.NotValidf("mechanism")
+	}
+	challenge, err := talk.Step(string(initial.Data))
+	if err != nil {
+		return err
+	}
+	next, err := c.ask(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)}, pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return err
+	}
+	response, ok := next.(*pgproto3.SASLResponse)
+	if !ok {
+		return errors.NotValidf("response")
+	}
+	final, err := talk.Step(string(response.Data))
+	if err != nil {
+		return err
+	}
+	c.out.add(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return nil
+}
+
+func (c *caller) ask(m pgproto3.BackendMessage, kind uint32) (pgproto3.FrontendMessage, error) {
+	c.out.add(m)
+	if err := c.out.flush(); err != nil {
+		return nil, err
+	}
+	if err := c.backend.SetAuthType(kind); err != nil {
+		return nil, err
+	}
+	return c.backend.Receive()
+}
--- /dev/null
+++ b/listener/session.go
@@ -0,0 +1,166 @@
+package listener
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/statement"
+	"github.com/kingcupknot/kingcupknot/token"
+)
+
+// settings are what a caller states of its session, or of one request.
+type settings struct {
+	Session catalog.SessionID
+	// Floor is the largest position of the tokens given. Invariant: it never
+	// goes back.
+	Floor catalog.Position
+	// HasToken is set once a token was given.
+	HasToken bool
+	MaxAge   time.Duration
+	Class    node.Class
+	// Deadline is a length of time: it starts anew with each request.
+	Deadline    time.Duration
+	Request     string
+	Traceparent string
+}
+
+// Names of classes.
+var classNames = map[string]node.Class{
+	"booking": node.ClassBooking,
+	"normal":  node.ClassNormal,
+	"browse":  node.ClassBrowse,
+}
+
+// set gives one setting a value. Names have no prefix.
+func (s *settings) set(key []byte, service catalog.ServiceID, name, value string) *fault {
+	switch name {
+	case "session":
+		if len(value) > token.MaxSession {
+			return &fault{Code: codeParameter, Text: "the session id is longer than " + strconv.Itoa(token.MaxSession) + " bytes"}
+		}
+		s.Session = catalog.SessionID(value)
+	case "token":
+		return s.setToken(key, service, value)
+	case "max-age", "max_age":
+		return setDuration(&s.MaxAge, name, value)
+	case "deadline":
+		return setDuration(&s.Deadline, name, value)
+	case "class":
+		class, ok := classNames[value]
+		if !ok {
+			return &fault{Code: codeParameter, Text: "the class must be booking, normal or browse"}
+		}
+		s.Class = class
+	case "request":
+		s.Request = value
+	case "traceparent":
+		s.Traceparent = value
+	default:
+		return &fault{Code: codeParameter, Text: "kingcupknot has no setting " + strconv.Quote(name)}
+	}
+	return nil
+}
+
+func (s *settings) setToken(key []byte, service catalog.ServiceID, text string) *fault {
+	if text == "" {
+		s.HasToken = false
+		return nil
+	}
+	t, err := token.Verify(key, service, text)
+	if err != nil {
+		return &fault{Code: codeAuthorization, Text: err.Error(), Hint: "give back the token as it was reported"}
+	}
+	if s.Session != "" && t.Session != "" && t.Session != s.Session {
+		return &fault{Code: codeAuthorization, Text: "the token belongs to another session"}
+	}
+	if s.Floor.Less(t.Position) {
+		s.Floor = t.Position
+	}
+	s.HasToken = true
+	if s.Session == "" {
+		s.Session = t.Session
+	}
+	return nil
+}
+
+func setDuration(d *time.Duration, name, value string) *fault {
+	if value == "" || value == "0" {
+		*d = 0
+		return nil
+	}
+	parsed, err := time.ParseDuration(value)
+	if err != nil || parsed < 0 {
+		return &fault{Code: codeParameter, Text: name + " must be a length of time such as 500ms"}
+	}
+	*d = parsed
+	return nil
+}
+
+// get returns the value of a setting for SHOW.
+func (s *settings) get(name string) string {
+	switch name {
+	case "session":
+		return string(s.Session)
+	case "max-age", "max_age":
+		return s.MaxAge.String()
+	case "deadline":
+		return s.Deadline.String()
+	case "class":
+		for text, class := range classNames {
+			if class == s.Class {
+				return text
+			}
+		}
+	}
+	return ""
+}
+
+// hinted returns the settings with the hints of one request.
+func (s *settings) hinted(key []byte, service catalog.ServiceID, text string) (settings, *fault) {
+	out := *s
+	for _, h := range statement.Hints(text) {
+		if f := out.set(key, service, h.Name, h.Value); f != nil {
+			return out, f
+		}
+	}
+	return out, nil
+}
+
+// startupSettings lists the settings of a startup message, in the order in
+// which they are to be applied.
+func startupSettings(parameters map[string]string) []statement.Hint {
+	var out []statement.Hint
+	out = append(out, optionSettings(parameters["options"])...)
+	for _, name := range []string{"session", "token", "max-age", "class", "deadline"} {
+		if value, ok := parameters[statement.OwnPrefix+name]; ok {
+			out = append(out, statement.Hint{Name: statement.OwnPrefix + name, Value: value})
+		}
+	}
+	return out
+}
+
+// optionSettings reads "-c name=value" and "--name=value".
+func optionSettings(options string) []statement.Hint {
+	var out []statement.Hint
+	words := strings.Fields(options)
+	for i := 0; i < len(words); i++ {
+		text := words[i]
+		switch {
+		case text == "-c" && i+1 < len(words):
+			i++
+			text = words[i]
+		case strings.HasPrefix(text, "-c"):
+			text = text[2:]
+		case strings.HasPrefix(text, "--"):
+			text = text[2:]
+		default:
+			continue
+		}
+		name, value, _ := strings.Cut(text, "=")
+		out = append(out, statement.Hint{Name: strings.ToLower(name), Value: value})
+	}
+	return out
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -26,7 +26,16 @@
 	// user touches them.
 	Statements *Prepared
 
-	net      net.Conn
+	// Retire is set if the connection must not serve another caller, but may
+	// finish the transaction that holds it. Invariant: only the user
+	// touches it.
+	Retire bool
+
+	net net.Conn
+	// out gathers what Flush writes.
+	out []byte
+	// encode is the first error of Send.
+	encode   error
 	frontend *pgproto3.Frontend
 	address  string
 	pid      uint32
@@ -52,6 +61,9 @@
 	closing bool
 }
 
+// maxKept is the largest write buffer that is kept, in bytes.
+const maxKept = 64 << 10
+
 type received struct {
 	message pgproto3.BackendMessage
 	err     error
@@ -150,12 +162,30 @@
 
 // Send adds a message to what Flush writes.
 func (c *Conn) Send(m pgproto3.FrontendMessage) {
-	c.frontend.Send(m)
+	next, err := m.Encode(c.out)
+	if err != nil {
+		c.encode = err
+		return
+	}
+	c.out = next
 }
 
-// Flush writes what was sent in one write.
-func (c *Conn) Flush() error {
-	return c.frontend.Flush()
+// Unsent returns how many bytes Flush would write.
+func (c *Conn) Unsent() int {
+	return len(c.out)
+}
+
+// Flush writes what was sent in one write, and returns how much left.
+func (c *Conn) Flush() (int, error) {
+	if c.encode != nil {
+		return 0, c.encode
+	}
+	n, err := c.net.Write(c.out)
+	if cap(c.out) > maxKept {
+		c.out = nil
+	}
+	c.out = c.out[:0]
+	return n, err
 }
 
 // Receive reads the next message, valid until the next call.
@@ -217,3 +247,11 @@
 	}
 	return pgconn.ErrorResponseToPgError(e)
 }
+
+// Buffered reports whether bytes of the next message were already read.
+func (c *Conn) Buffered() bool {
+	c.mu.Lock()
+	watched := c.watched
+	c.mu.Unlock()
+	return !watched && c.frontend.ReadBufferLen() > 0
+}
--- a/upstream/evidence.go
+++ b/upstream/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -39,5 +40,9 @@
 	if errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH) {
 		return wire.EvidenceSilent
 	}
-	return wire.EvidenceRefused
+	var network *net.OpError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+		return wire.EvidenceRefused
+	}
+	return wire.EvidenceNone
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -142,7 +142,7 @@
 	c.SetReadDeadline(p.wallTime(e.Deadline))
 	done.SentAt = p.options.Now()
 	c.Send(&pgproto3.Query{String: p.options.Statements.Status})
-	err := c.Flush()
+	_, err := c.Flush()
 	var status Status
 	var refused error
 	if err == nil {
