listener: run requests with an id at most once

The outcome is recorded in the transaction that does the work, so that a resend through any entry gets it. Also let control survey, promote and redirect upstreams over warm connections, and ask for a position behind a batch only where no transaction stays open: within one the question would be its first statement. Refuse a commit that is sent together with the next BEGIN, since its acknowledgement could not be held back.

--- a/listener/answer.go
+++ b/listener/answer.go
@@ -13,18 +13,38 @@
 	if a.Verdict == node.VerdictDone && !r.answered {
 		a.Verdict, a.Reason = node.VerdictUnknown, "the answer was not read to its end"
 	}
-	c.forgetUnparsed(r.batch)
+	if !r.recorded {
+		c.forgetUnparsed(r.batch)
+	}
 	if a.Verdict != node.VerdictDone {
 		c.refuse(r, a)
 		c.ready()
 		return
 	}
-	c.out.pending = append(c.out.pending, r.held...)
 	c.status = r.status
+	if r.recorded {
+		c.advance(r, a)
+		c.replay(r)
+		return
+	}
+	c.out.pending = append(c.out.pending, r.held...)
 	c.advance(r, a)
 	c.ready()
 }
 
+// replay answers a request by what was recorded under its id. Rows that it
+// returned then are not known any more.
+func (c *caller) replay(r *request) {
+	c.play(r.batch, func(statement.Statement) (string, *fault) {
+		if len(r.tags) == 0 {
+			return "", nil
+		}
+		tag := r.tags[0]
+		r.tags = r.tags[1:]
+		return tag, nil
+	})
+}
+
 // advance moves the session's floor on and reports what changed.
 func (c *caller) advance(r *request, a node.AnswerRequest) {
 	if c.floor.Less(a.Floor) {
--- a/listener/relay.go
+++ b/listener/relay.go
@@ -65,6 +65,7 @@
 // a batch that may change something waits for the verdict.
 func (u *run) completed(tag string) {
 	u.decided = true
+	u.tags = append(u.tags, tag)
 	switch {
 	case u.request.kind == node.KindRead || u.request.kind == node.KindBeginRead:
 	case u.request.kind == node.KindInside && !u.request.batch.sql.Commits():
--- a/listener/request.go
+++ b/listener/request.go
@@ -28,6 +28,10 @@
 	saw bool
 	// status is the transaction state after the request.
 	status byte
+	// recorded is set if the request ran before under its id; tags are the
+	// command tags of that time.
+	recorded bool
+	tags     []string
 	// ran is set once the request was given to an upstream.
 	ran bool
 	// told is set once the reducer knows that the caller is gone.
@@ -64,6 +68,11 @@
 		canceled: make(chan struct{}, 1),
 		status:   statusIdle,
 	}
+	if f := r.refusedOnce(); f != nil {
+		c.forgetUnparsed(b)
+		c.fail(f)
+		return
+	}
 	c.submit(r)
 	c.setCurrent(nil)
 }
--- a/listener/run.go
+++ b/listener/run.go
@@ -39,6 +39,8 @@
 	status byte
 	// written brings the end of a write beside the reading.
 	written chan error
+	// tags are the command tags of the statements that completed.
+	tags []string
 	// abandoned is set once the connection was given up during the run.
 	abandoned bool
 }
@@ -122,7 +124,10 @@
 // forget drops what the run gathered for the caller.
 func (u *run) forget() {
 	u.request.held = nil
-	u.caller.out.drop()
+	u.request.recorded = false
+	if !u.request.saw {
+		u.caller.out.drop()
+	}
 	for _, s := range u.request.batch.steps {
 		s.parsed = false
 	}
@@ -133,6 +138,9 @@
 func (u *run) exchange() error {
 	statusQuery := &pgproto3.Query{String: u.caller.server.options.Pool.Statements().Status}
 	b := u.request.batch
+	if u.request.isOnce() {
+		return u.exchangeOnce()
+	}
 	if u.order.Verify {
 		u.conn.Send(statusQuery)
 	}
@@ -141,8 +149,7 @@
 	} else {
 		u.due = translate(u.conn, b)
 	}
-	// A copy takes what follows for its data.
-	behind := u.order.AskPosition && !b.sql.CopyIn()
+	behind := u.order.AskPosition && b.endsIdle(u.request.kind)
 	if behind {
 		u.conn.Send(statusQuery)
 	}
@@ -153,7 +160,7 @@
 	if err := u.receive(); err != nil {
 		return err
 	}
-	if !u.order.AskPosition {
+	if !u.order.AskPosition || u.status != statusIdle && !behind {
 		return nil
 	}
 	if !behind {
@@ -167,6 +174,23 @@
 	return u.receivePosition(asked)
 }
 
+// endsIdle reports whether a batch of that kind surely leaves no transaction
+// open, nor reads data that follows it. Only then may a question be sent right
+// behind it: within a transaction it would be the transaction's first
+// statement, and a copy would take it for data.
+func (b *batch) endsIdle(kind node.RequestKind) bool {
+	if b.sql.CopyIn() {
+		return false
+	}
+	switch kind {
+	case node.KindRead, node.KindWrite:
+		return true
+	case node.KindInside:
+		return b.sql.Ends()
+	}
+	return false
+}
+
 // write sends the batch in one write, beside the reading if it is large.
 func (u *run) write() error {
 	u.done.Outcome = node.OutcomeLost
--- a/statement/batch.go
+++ b/statement/batch.go
@@ -37,8 +37,6 @@
 	Refusal string
 	// Commit is set if the statement may commit an open transaction.
 	Commit bool
-	// Inside is set if the statement is refused only outside a transaction.
-	Inside bool
 	// ReadOnly is set for BEGIN with READ ONLY.
 	ReadOnly bool
 	// CopyIn is set if the statement reads data from the caller.
@@ -91,12 +89,18 @@
 
 // Refused returns the first statement that can't be carried.
 func (b Batch) Refused(inTransaction bool) (Statement, bool) {
+	committed := false
 	for _, s := range b.Statements {
-		if s.Action == ActionRefuse && (!inTransaction || !s.Inside) {
+		switch {
+		case s.Action == ActionRefuse:
 			return s, true
-		}
-		if s.Kind == node.KindBegin || s.Kind == node.KindBeginRead {
+		case s.Kind == node.KindBegin || s.Kind == node.KindBeginRead:
+			if committed {
+				return refuse("a commit and the next BEGIN can't be sent together; wait for the answer to the commit"), true
+			}
 			inTransaction = true
+		case s.Commit && inTransaction:
+			committed, inTransaction = true, false
 		}
 	}
 	return Statement{}, false
--- a/statement/classify.go
+++ b/statement/classify.go
@@ -168,11 +168,11 @@
 	return Statement{Kind: node.KindBegin}
 }
 
-// end classifies the end of a transaction. AND CHAIN opens the next one.
+// end classifies the end of a transaction.
 func end(t []token, tag string) Statement {
 	for i := range t {
 		if word(t, i) == "AND" && word(t, i+1) == "CHAIN" {
-			return Statement{Kind: node.KindWrite, Commit: tag == "COMMIT"}
+			return refuse("AND CHAIN is not carried; end the transaction, then send BEGIN")
 		}
 	}
 	return Statement{Action: ActionEnd, Kind: node.KindWrite, Tag: tag, Commit: tag == "COMMIT"}
--- a/token/token_test.go
+++ b/token/token_test.go
@@ -35,7 +35,7 @@
 		}{
 			{text, "another key", "orders", ErrForged},
 			{text, string(key), "stock", ErrForeign},
-			{text[:len(text)-4], string(key), "orders", ErrForged},
+			{text[:len(text)-4], string(key), "orders", ErrMalformed},
 			{text + "AAAA", string(key), "orders", ErrForged},
 			{text + "=", string(key), "orders", ErrMalformed},
 			{text[2:], string(key), "orders", ErrMalformed},
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -21,6 +21,18 @@
 // dial connects, authenticates and gives up the library's hold on the
 // connection, which is idle then.
 func dial(ctx context.Context, l login) (*pgconn.HijackedConn, error) {
+	conn, err := connect(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.SyncConn(ctx); err != nil {
+		return nil, err
+	}
+	return conn.Hijack()
+}
+
+// connect connects and authenticates.
+func connect(ctx context.Context, l login) (*pgconn.PgConn, error) {
 	host, port, err := net.SplitHostPort(l.Address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "address %q of the upstream", l.Address)
@@ -39,12 +51,5 @@
 	config.TLSConfig = nil
 	config.ValidateConnect, config.AfterConnect = nil, nil
 	config.RuntimeParams = map[string]string{"application_name": l.Name, "client_encoding": "UTF8"}
-	conn, err := pgconn.ConnectConfig(ctx, config)
-	if err != nil {
-		return nil, err
-	}
-	if err := conn.SyncConn(ctx); err != nil {
-		return nil, err
-	}
-	return conn.Hijack()
+	return pgconn.ConnectConfig(ctx, config)
 }
--- /dev/null
+++ b/upstream/survey.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// controlName is how control's connections show up at upstreams.
+const controlName = "kingcupknot-control"
+
+// Placeholders in Statements.Follow.
+const (
+	hostPlaceholder = "%HOST%"
+	portPlaceholder = "%PORT%"
+)
+
+// Surveyor asks and directs upstreams on behalf of control. It keeps one warm
+// connection to each.
+type Surveyor struct {
+	options Options
+
+	mu sync.Mutex
+	// links are the warm connections that nobody uses now.
+	links  map[target]*pgconn.PgConn
+	closed bool
+}
+
+// target names one upstream.
+type target struct {
+	Service catalog.ServiceID
+	Address string
+}
+
+// NewSurveyor returns a surveyor without connections.
+func NewSurveyor(o Options) *Surveyor {
+	return &Surveyor{options: o, links: make(map[target]*pgconn.PgConn)}
+}
+
+// Survey asks an upstream for role and position.
+func (s *Surveyor) Survey(
+	ctx context.Context, service catalog.ServiceID, address string,
+) (catalog.Role, catalog.Position, wire.Evidence) {
+	status, err := s.status(ctx, target{service, address})
+	if err != nil {
+		return catalog.RoleUnknown, catalog.Position{}, evidenceOf(err)
+	}
+	return status.Role, status.Position, wire.EvidenceAlive
+}
+
+// Promote makes an upstream the primary of its group. It reports whether the
+// upstream is a primary now, and where its log is. Promoting a primary does
+// nothing.
+func (s *Surveyor) Promote(
+	ctx context.Context, service catalog.ServiceID, address string,
+) (catalog.Position, bool) {
+	t := target{service, address}
+	// What counts is the role afterwards: an answer that was lost, or an
+	// upstream that is a primary already, looks like an error here.
+	_, promoted := s.execute(ctx, t, s.options.Statements.Promote)
+	status, err := s.status(ctx, t)
+	if err == nil && status.Role == catalog.RolePrimary {
+		return status.Position, true
+	}
+	if promoted != nil {
+		s.options.Log.Info("upstream: promotion failed", "address", address, "error", promoted.Error())
+	}
+	return catalog.Position{}, false
+}
+
+// Follow tells an upstream to replicate from another.
+func (s *Surveyor) Follow(ctx context.Context, service catalog.ServiceID, address, primary string) error {
+	host, port, err := net.SplitHostPort(primary)
+	if err != nil {
+		return errors.Annotatef(err, "address %q of the primary", primary)
+	}
+	fill := strings.NewReplacer(hostPlaceholder, host, portPlaceholder, port)
+	for _, text := range s.options.Statements.Follow {
+		if _, err := s.execute(ctx, target{service, address}, fill.Replace(text)); err != nil {
+			return errors.Annotatef(err, "upstream %s", address)
+		}
+	}
+	return nil
+}
+
+// Forget closes the warm connection to an upstream that is gone for good.
+func (s *Surveyor) Forget(service catalog.ServiceID, address string) {
+	if link := s.take(target{service, address}); link != nil {
+		shut(link)
+	}
+}
+
+// Close closes all connections.
+func (s *Surveyor) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for t, link := range s.links {
+		delete(s.links, t)
+		go shut(link)
+	}
+}
+
+func (s *Surveyor) status(ctx context.Context, t target) (Status, error) {
+	row, err := s.execute(ctx, t, s.options.Statements.Status)
+	if err != nil {
+		return Status{}, err
+	}
+	return ParseStatus(row)
+}
+
+// execute runs a statement and returns its first row. A warm connection that
+// turns out to be lost is replaced once, as the upstream may have restarted.
+func (s *Surveyor) execute(ctx context.Context, t target, text string) ([][]byte, error) {
+	if link := s.take(t); link != nil {
+		row, err := s.ask(ctx, t, link, text)
+		if err == nil || !link.IsClosed() || ctx.Err() != nil {
+			return row, err
+		}
+	}
+	link, err := s.dial(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return s.ask(ctx, t, link, text)
+}
+
+// ask runs a statement and keeps the connection if it is still good.
+func (s *Surveyor) ask(ctx context.Context, t target, link *pgconn.PgConn, text string) ([][]byte, error) {
+	results, err := link.Exec(ctx, text).ReadAll()
+	if link.IsClosed() {
+		return nil, err
+	}
+	s.keep(t, link)
+	if err != nil || len(results) == 0 || len(results[0].Rows) == 0 {
+		return nil, err
+	}
+	return results[0].Rows[0], nil
+}
+
+func (s *Surveyor) dial(ctx context.Context, t target) (*pgconn.PgConn, error) {
+	database := s.options.Database
+	if database == "" {
+		database = string(t.Service)
+	}
+	return connect(ctx, login{t.Address, s.options.User, s.options.Password, database, controlName})
+}
+
+func (s *Surveyor) take(t target) *pgconn.PgConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	link := s.links[t]
+	delete(s.links, t)
+	return link
+}
+
+func (s *Surveyor) keep(t target, link *pgconn.PgConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.links[t] != nil {
+		go shut(link)
+		return
+	}
+	s.links[t] = link
+}
+
+func shut(link *pgconn.PgConn) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = link.Close(ctx)
+}
