node: add the entry reducer

Routes reads and writes, keeps leases and grants, reports to control, probes upstreams and drains. A pass over all services after each event keeps the order of decisions in one place; touching only changed ones was weighed and left until the number of services asks for it.

--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"sort"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// EntryOptions are what an entry knows at its start.
+type EntryOptions struct {
+	VM   catalog.VMID
+	Site catalog.SiteID
+	// Life numbers the starts of the process.
+	Life uint64
+	// Seed feeds the jitter of back-off.
+	Seed    uint64
+	Timings catalog.Timings
+	// Control lists the control VMs.
+	Control []catalog.VMID
+	// Peers lists the other entries.
+	Peers []catalog.VMID
+	// Neighbours lists the other entries of the same site; they share the
+	// work of observing.
+	Neighbours []catalog.VMID
+	// Observers is how many entries of a site observe a service, 0 for all.
+	Observers int
+	// Queue is the most requests that wait per service.
+	Queue int
+	// Settings and Version are the last accepted configuration known.
+	Settings []catalog.Service
+	Version  catalog.Version
+}
+
+// Entry decides for one entry VM where requests run, when a write may be
+// acknowledged and which upstream connections are held.
+type Entry struct {
+	options EntryOptions
+	now     catalog.Instant
+	started bool
+	random  uint64
+	effects []Effect
+
+	version  catalog.Version
+	services map[catalog.ServiceID]*entryService
+	// order holds the keys of services, ascending.
+	order    []catalog.ServiceID
+	conns    map[catalog.ConnID]*entryConn
+	nextConn catalog.ConnID
+	requests map[catalog.RequestID]*entryRequest
+
+	report entryReports
+	// timerAt is the instant last asked for, zero if none is pending.
+	timerAt catalog.Instant
+	// wakeAt collects the earliest deadline during a step, zero if none.
+	wakeAt   catalog.Instant
+	leaving  bool
+	leaveBy  catalog.Instant
+	stopped  bool
+	siteVMs  []catalog.VMID
+	leaseCan entryLeaseCheck
+	allowed  entryAllowance
+}
+
+// entryLeaseCheck and entryAllowance are the two rules that tests turn off to
+// show that the checks of the invariants notice.
+type (
+	entryLeaseCheck func(s *entryService, epoch catalog.Epoch, now catalog.Instant) bool
+	entryAllowance  func(i *entryInstance, now catalog.Instant) int
+)
+
+// NewEntry returns an entry that knows the given configuration and nothing of
+// its upstreams.
+func NewEntry(o EntryOptions) *Entry {
+	e := &Entry{
+		options:  o,
+		random:   o.Seed,
+		version:  o.Version,
+		services: map[catalog.ServiceID]*entryService{},
+		conns:    map[catalog.ConnID]*entryConn{},
+		requests: map[catalog.RequestID]*entryRequest{},
+		leaseCan: leaseValid,
+		allowed:  allowance,
+	}
+	e.options.Control = sortedVMs(o.Control)
+	e.options.Peers = sortedVMs(o.Peers)
+	e.siteVMs = sortedVMs(append([]catalog.VMID{o.VM}, o.Neighbours...))
+	e.report = newEntryReports(o.Life)
+	for _, c := range o.Settings {
+		e.configure(c)
+	}
+	return e
+}
+
+func sortedVMs(vms []catalog.VMID) []catalog.VMID {
+	out := append([]catalog.VMID{}, vms...)
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Step takes one event and returns what the shell must do.
+func (e *Entry) Step(ev Event) []Effect {
+	e.effects = nil
+	e.now = ev.Now
+	if !e.started {
+		e.started = true
+		e.report.answeredAt = ev.Now
+		e.report.next = ev.Now
+	}
+	if !e.timerAt.After(e.now) {
+		e.timerAt = 0
+	}
+	e.take(ev.Input)
+	e.settle()
+	return e.effects
+}
+
+func (e *Entry) take(in Input) {
+	switch v := in.(type) {
+	case PeerReceived:
+		e.takePeer(v)
+	case Announced:
+		e.takeAnnouncement(v.Announcement, true)
+	case DrainAsked:
+		e.takeDrain()
+	case RequestArrived:
+		e.takeRequest(v)
+	case RequestWithdrawn:
+		e.takeWithdrawn(v)
+	case RequestDone:
+		e.takeDone(v)
+	case TransactionDropped:
+		e.takeDropped(v)
+	case ConnOpened:
+		e.takeOpened(v)
+	case ConnLost:
+		e.takeLost(v)
+	case ProbeDone:
+		e.takeProbe(v)
+	}
+}
+
+func (e *Entry) takePeer(v PeerReceived) {
+	m := v.Message
+	switch {
+	case m.Answer != nil:
+		e.takeAnswer(v.From, *m.Answer)
+	case m.Revoke != nil:
+		e.takeRevoke(v.From, *m.Revoke)
+	case m.Announcement != nil:
+		e.takeAnnouncement(*m.Announcement, false)
+	}
+}
+
+// settle brings everything up to date with the clock: what ran out is given
+// up first, then waiting work is placed, then connections, probes, reports.
+func (e *Entry) settle() {
+	e.wakeAt = 0
+	for _, id := range e.order {
+		s := e.services[id]
+		e.settleLease(s)
+		for _, i := range s.instances {
+			e.trim(i)
+			i.short = 0
+		}
+		e.settleReplication(s)
+		e.dispatch(s)
+		for _, i := range s.instances {
+			e.settleProbe(i)
+			e.settleConns(i)
+		}
+	}
+	e.settleDrain()
+	e.settleReport()
+	e.settleTimer()
+}
+
+// wake asks for a step at or soon after an instant.
+func (e *Entry) wake(at catalog.Instant) {
+	if e.wakeAt == 0 || at.Before(e.wakeAt) {
+		e.wakeAt = at
+	}
+}
+
+func (e *Entry) settleTimer() {
+	if e.wakeAt == 0 || e.stopped {
+		return
+	}
+	at := e.wakeAt
+	if !at.After(e.now) {
+		at = e.now.Add(timerFloor)
+	}
+	if at == e.timerAt {
+		return
+	}
+	e.timerAt = at
+	e.emit(SetTimer{At: at})
+}
+
+func (e *Entry) emit(x Effect) {
+	e.effects = append(e.effects, x)
+}
+
+func (e *Entry) count(name string) {
+	e.emit(Count{Name: name, Delta: 1})
+}
+
+func (e *Entry) span(name string, r *entryRequest, from catalog.Instant) {
+	e.emit(Span{Name: name, Request: r.Request, Service: r.Service, Start: from, End: e.now})
+}
+
+// draw returns the next number of the seeded sequence (splitmix64).
+func (e *Entry) draw() uint64 {
+	e.random += 0x9e3779b97f4a7c15
+	z := e.random
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
--- /dev/null
+++ b/node/entry_conn.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// allowance is how many connections to the upstream may be held now: the
+// grant, and for an upstream of the own site the standing share.
+func allowance(i *entryInstance, now catalog.Instant) int {
+	n := 0
+	if now.Before(i.grantUntil) {
+		n = i.grant
+	}
+	if i.own && i.service.accepted {
+		n += i.service.settings.Limits.LocalShare
+	}
+	return n
+}
+
+func (e *Entry) takeGrant(g wire.Grant, sent catalog.Instant) {
+	s := e.service(g.Service)
+	i := s.instance(g.Instance)
+	if i == nil {
+		i = s.addInstance(g.Instance)
+		i.heard = e.now - catalog.Instant(e.options.Timings.Announce)
+		e.restart(i)
+	}
+	until := sent.Add(g.Length - e.options.Timings.Drift)
+	if g.Connections < i.grant && e.now.Before(i.grantUntil) && i.surplusUntil < i.grantUntil {
+		i.surplusUntil = i.grantUntil
+	}
+	i.grant, i.grantUntil = g.Connections, until
+}
+
+// trim closes what is held beyond the allowance: idle connections at once,
+// others when they are free, at the latest when the grant that allowed them
+// runs out.
+func (e *Entry) trim(i *entryInstance) {
+	over := i.open() - e.allowed(i, e.now)
+	if e.now.Before(i.grantUntil) {
+		e.wake(i.grantUntil)
+	}
+	if over <= 0 {
+		return
+	}
+	over -= e.closeSome(i, over, connIdle)
+	if over <= 0 {
+		return
+	}
+	if e.now.Before(i.surplusUntil) {
+		e.wake(i.surplusUntil)
+		return
+	}
+	for _, state := range []connState{connOpening, connProbing, connBusy, connHeld} {
+		over -= e.closeSome(i, over, state)
+	}
+}
+
+// closeSome closes up to n connections in a state, the newest first.
+func (e *Entry) closeSome(i *entryInstance, n int, state connState) int {
+	closed := 0
+	for k := len(i.conns) - 1; k >= 0 && closed < n; k-- {
+		if i.conns[k].state == state {
+			e.closeConn(i.conns[k])
+			closed++
+		}
+	}
+	return closed
+}
+
+// open counts the connections that were not told to close.
+func (i *entryInstance) open() int {
+	n := 0
+	for _, c := range i.conns {
+		if c.state != connClosing {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Entry) closeConn(c *entryConn) {
+	if c.state == connClosing {
+		return
+	}
+	c.state = connClosing
+	e.emit(CloseConn{Conn: c.id})
+}
+
+// free gives a connection back once its request or probe has ended.
+func (e *Entry) free(c *entryConn) {
+	c.request = nil
+	if c.state == connClosing {
+		return
+	}
+	if c.doomed || c.instance.open() > e.allowed(c.instance, e.now) {
+		e.closeConn(c)
+		return
+	}
+	c.state, c.idleSince = connIdle, e.now
+}
+
+// pick returns an idle connection for a request, or nil. The last connection
+// that does no work is kept for probes when there are two or more.
+func (e *Entry) pick(i *entryInstance) *entryConn {
+	var idle *entryConn
+	spare := 0
+	for _, c := range i.conns {
+		if c.state == connIdle || c.state == connProbing {
+			spare++
+		}
+		if c.state == connIdle && !c.doomed && idle == nil {
+			idle = c
+		}
+	}
+	if idle == nil || (spare < 2 && len(i.conns) >= 2) {
+		i.short++
+		return nil
+	}
+	return idle
+}
+
+func (e *Entry) takeOpened(v ConnOpened) {
+	c := e.conns[v.Conn]
+	if c == nil {
+		return
+	}
+	i := c.instance
+	i.backoff, i.openAfter = 0, e.now
+	e.seeAlive(i)
+	if c.state == connOpening {
+		e.free(c)
+	}
+}
+
+func (e *Entry) takeLost(v ConnLost) {
+	c := e.conns[v.Conn]
+	if c == nil {
+		return
+	}
+	i := c.instance
+	delete(e.conns, v.Conn)
+	for n, x := range i.conns {
+		if x == c {
+			i.conns = append(i.conns[:n:n], i.conns[n+1:]...)
+			break
+		}
+	}
+	if i.probeConn == c.id {
+		i.probeConn = 0
+	}
+	if c.state == connOpening {
+		e.backOff(i)
+	}
+	if v.Evidence == wire.EvidenceRefused || v.Evidence == wire.EvidenceSilent {
+		e.seeEvidence(i, v.Evidence)
+	}
+}
+
+// backOff puts off the next opening, each time twice as long, with jitter.
+func (e *Entry) backOff(i *entryInstance) {
+	i.backoff = max(backoffFirst, min(2*i.backoff, backoffMost))
+	jitter := time.Duration(e.draw() % uint64(i.backoff))
+	i.openAfter = e.now.Add(i.backoff/2 + jitter)
+}
+
+// settleConns opens what the work of this step lacked and closes what has
+// been idle for long.
+func (e *Entry) settleConns(i *entryInstance) {
+	e.noteDemand(i)
+	if e.stopped || (e.leaving && i.short == 0) {
+		return
+	}
+	e.closeIdle(i)
+	if !e.takesWork(i) || i.announcement.Address == "" {
+		return
+	}
+	missing := e.target(i) - i.open()
+	room := e.allowed(i, e.now) - len(i.conns)
+	if missing > room && e.wanted(i) > i.wantedTold {
+		e.report.urgent = true
+	}
+	missing = min(missing, room)
+	if missing <= 0 {
+		return
+	}
+	if e.now.Before(i.openAfter) && !i.confirm {
+		e.wake(i.openAfter)
+		return
+	}
+	if i.backoff > 0 || i.confirm {
+		missing = min(missing, 1-i.opening())
+	}
+	i.confirm = false
+	for ; missing > 0; missing-- {
+		e.openConn(i)
+	}
+}
+
+func (i *entryInstance) opening() int {
+	n := 0
+	for _, c := range i.conns {
+		if c.state == connOpening {
+			n++
+		}
+	}
+	return n
+}
+
+// target is how many connections the instance should have now.
+func (e *Entry) target(i *entryInstance) int {
+	inUse := i.running
+	for _, c := range i.conns {
+		if c.state == connHeld {
+			inUse++
+		}
+	}
+	least := 1
+	if e.inUse(i.service) {
+		least = 2
+	}
+	return min(max(inUse+i.short+1, least), i.service.settings.Limits.Connections)
+}
+
+func (e *Entry) inUse(s *entryService) bool {
+	return s.wasUsed && e.now.Before(s.used.Add(usedBound))
+}
+
+func (e *Entry) openConn(i *entryInstance) {
+	e.nextConn++
+	c := &entryConn{id: e.nextConn, instance: i, state: connOpening}
+	e.conns[c.id] = c
+	i.conns = append(i.conns, c)
+	e.emit(OpenConn{
+		Conn: c.id, Service: i.service.id, Instance: i.id,
+		Address: i.announcement.Address, Deadline: e.now.Add(e.options.Timings.Suspect),
+	})
+}
+
+// closeIdle closes connections that were idle for long, but for the first
+// ones that are kept warm.
+func (e *Entry) closeIdle(i *entryInstance) {
+	keep := 1
+	if e.inUse(i.service) {
+		keep = 2
+	}
+	for k := len(i.conns) - 1; k >= 0 && i.open() > keep; k-- {
+		c := i.conns[k]
+		if c.state != connIdle {
+			continue
+		}
+		if c.idleSince.Add(idleBound).After(e.now) {
+			e.wake(c.idleSince.Add(idleBound))
+			continue
+		}
+		e.closeConn(c)
+	}
+}
+
+// noteDemand keeps the most connections that the work of the last second
+// would have used.
+func (e *Entry) noteDemand(i *entryInstance) {
+	if !e.now.Before(i.demandUntil) {
+		i.demand[1] = i.demand[0]
+		if !e.now.Before(i.demandUntil.Add(demandWindow)) {
+			i.demand[1] = 0
+		}
+		i.demand[0] = 0
+		i.demandUntil = e.now.Add(demandWindow)
+	}
+	inUse := i.running + i.short
+	for _, c := range i.conns {
+		if c.state == connHeld {
+			inUse++
+		}
+	}
+	i.demand[0] = max(i.demand[0], inUse)
+}
+
+// wanted is what the work of the last second would use, and one for probes.
+func (e *Entry) wanted(i *entryInstance) int {
+	if !e.takesWork(i) {
+		return 0
+	}
+	n := max(i.demand[0], i.demand[1]) + 1
+	if e.inUse(i.service) {
+		n = max(n, 2)
+	}
+	return min(n, i.service.settings.Limits.Connections)
+}
--- /dev/null
+++ b/node/entry_fake_test.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// fakeUpstream is one upstream of the fake world.
+type fakeUpstream struct {
+	catalog.Announcement
+	down, silent, held bool
+	pause              time.Duration
+	grant              int
+}
+
+type fakeConn struct {
+	at      *fakeUpstream
+	opened  bool
+	running catalog.RequestID
+	epoch   catalog.Epoch
+}
+
+// fakeWorld runs an Entry against upstreams and a control that it makes up,
+// and checks the invariants on every effect.
+type fakeWorld struct {
+	entry     *Entry
+	timings   catalog.Timings
+	now       catalog.Instant
+	queue     []fakeEvent
+	number    int
+	upstreams map[catalog.InstanceID]*fakeUpstream
+	conns     map[catalog.ConnID]*fakeConn
+	requests  map[catalog.RequestID]RequestArrived
+	began     map[catalog.RequestID]catalog.Epoch
+	ran       map[catalog.RequestID]string
+	answers   map[catalog.RequestID]AnswerRequest
+	primary   catalog.Primary
+	lease     bool
+	deaf      bool
+	leases    map[catalog.Epoch]catalog.Instant
+	fenced    catalog.Epoch
+	grants    map[catalog.InstanceID][]fakeGrant
+	settings  wire.Answer
+	trace     []string
+	faults    []string
+	sent      []string
+	stopped   bool
+}
+
+type fakeEvent struct {
+	at     catalog.Instant
+	number int
+	input  func() Input
+}
+
+type fakeGrant struct {
+	connections int
+	until       catalog.Instant
+}
+
+func newFakeWorld(o EntryOptions) *fakeWorld {
+	return &fakeWorld{
+		entry: NewEntry(o), timings: o.Timings, now: catalog.Instant(time.Second),
+		upstreams: map[catalog.InstanceID]*fakeUpstream{}, conns: map[catalog.ConnID]*fakeConn{},
+		requests: map[catalog.RequestID]RequestArrived{}, began: map[catalog.RequestID]catalog.Epoch{},
+		ran: map[catalog.RequestID]string{}, answers: map[catalog.RequestID]AnswerRequest{},
+		leases: map[catalog.Epoch]catalog.Instant{}, grants: map[catalog.InstanceID][]fakeGrant{}, lease: true,
+	}
+}
+
+func (w *fakeWorld) after(d time.Duration, in func() Input) {
+	w.number++
+	w.queue = append(w.queue, fakeEvent{at: w.now.Add(d), number: w.number, input: in})
+	sort.SliceStable(w.queue, func(a, b int) bool { return w.queue[a].at < w.queue[b].at })
+}
+
+func (w *fakeWorld) advance(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		v := w.queue[0]
+		w.queue = w.queue[1:]
+		w.now = v.at
+		if in := v.input(); in != nil {
+			w.step(in)
+		}
+	}
+	w.now = end
+}
+
+func (w *fakeWorld) step(in Input) {
+	for _, x := range w.entry.Step(Event{Now: w.now, Input: in}) {
+		text, err := json.Marshal(x)
+		if err != nil {
+			w.fault("%v", err)
+		}
+		w.trace = append(w.trace, fmt.Sprintf("%d %T %s", w.now, x, text))
+		w.effect(x)
+	}
+	w.checkConns()
+}
+
+func (w *fakeWorld) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%s: ", time.Duration(w.now))+fmt.Sprintf(format, args...))
+}
+
+func (w *fakeWorld) effect(x Effect) {
+	switch v := x.(type) {
+	case SetTimer:
+		w.after(v.At.Sub(w.now), func() Input { return TimerFired{} })
+	case OpenConn:
+		u := w.upstreams[v.Instance]
+		c := &fakeConn{at: u}
+		w.conns[v.Conn] = c
+		w.after(10*time.Millisecond, func() Input {
+			if w.conns[v.Conn] != c {
+				return nil
+			}
+			if u.down {
+				return w.lose(v.Conn, wire.EvidenceRefused)
+			}
+			c.opened = true
+			return ConnOpened{Conn: v.Conn}
+		})
+	case CloseConn:
+		w.after(0, func() Input { return w.lose(v.Conn, wire.EvidenceNone) })
+	case Probe:
+		w.probe(v)
+	case RunRequest:
+		w.run(v)
+	case AnswerRequest:
+		w.answer(v)
+	case SendPeer:
+		w.send(v)
+	case Stopped:
+		w.stopped = true
+	}
+}
+
+func (w *fakeWorld) lose(id catalog.ConnID, evidence wire.Evidence) Input {
+	c := w.conns[id]
+	if c == nil {
+		return nil
+	}
+	delete(w.conns, id)
+	if c.running != 0 {
+		w.after(0, func() Input { return w.done(c, id, c.running, RequestDone{Outcome: OutcomeLost}) })
+	}
+	return ConnLost{Conn: id, Evidence: evidence}
+}
+
+func (w *fakeWorld) probe(v Probe) {
+	c, sent := w.conns[v.Conn], w.now
+	if c == nil || !c.opened || c.running != 0 {
+		w.fault("probe on connection %d that is not idle", v.Conn)
+		return
+	}
+	w.after(time.Millisecond, func() Input {
+		if w.conns[v.Conn] != c {
+			return nil
+		}
+		return ProbeDone{
+			Conn: v.Conn, SentAt: sent, Evidence: wire.EvidenceAlive,
+			Role: c.at.Role, Position: c.at.Position,
+		}
+	})
+}
+
+func (w *fakeWorld) run(v RunRequest) {
+	c, q := w.conns[v.Conn], w.requests[v.Request]
+	if c == nil || !c.opened || c.running != 0 {
+		w.fault("request %d on connection %d that is not free", v.Request, v.Conn)
+		return
+	}
+	if q.Kind != KindInside {
+		c.epoch = w.entry.services[q.Service].primary.Epoch
+	}
+	c.running = v.Request
+	w.ran[v.Request] = string(c.at.Instance)
+	w.began[v.Request] = c.epoch
+	if c.at.held {
+		return
+	}
+	asked := w.now
+	w.after(2*time.Millisecond+c.at.pause, func() Input {
+		if w.conns[v.Conn] != c || c.running != v.Request {
+			return nil
+		}
+		d := RequestDone{Reusable: true, Position: c.at.Position, AskedAt: asked}
+		if v.Verify && !v.Forks.Covers(c.at.Position, v.Floor) {
+			d.Outcome = OutcomeBehind
+		}
+		return w.done(c, v.Conn, v.Request, d)
+	})
+}
+
+func (w *fakeWorld) done(c *fakeConn, id catalog.ConnID, r catalog.RequestID, d RequestDone) Input {
+	c.running = 0
+	d.Request, d.Conn = r, id
+	q := w.requests[r]
+	if d.Outcome == OutcomeCompleted && (q.Kind == KindBegin || q.Kind == KindBeginRead) {
+		d.InTransaction, d.Reusable = true, false
+	}
+	return d
+}
--- /dev/null
+++ b/node/entry_instance.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// takeAnnouncement keeps the newest word of an upstream. One heard directly is
+// relayed to the other entries; a relayed one is not, so there are no loops.
+func (e *Entry) takeAnnouncement(a catalog.Announcement, direct bool) {
+	s := e.service(a.Service)
+	i := s.instance(a.Instance)
+	isNew := i == nil
+	if isNew {
+		i = s.addInstance(a.Instance)
+	}
+	if direct && (i.direct.Instance == "" || a.Newer(i.direct)) {
+		i.direct, i.pending, i.includedIn = a, true, 0
+	}
+	if !isNew && !a.Newer(i.announcement) {
+		return
+	}
+	old := i.announcement
+	i.announcement, i.heard, i.site = a, e.now, a.Site
+	i.own = a.Site == e.options.Site
+	if isNew || a.Life != old.Life {
+		e.restart(i)
+	}
+	if a.Leaving && !i.isLeft {
+		i.isLeft = true
+		e.abandon(i)
+	}
+	if !isNew && a.Address != old.Address {
+		e.abandon(i)
+	}
+	if direct {
+		e.relay(i, isNew || a.Life != old.Life || a.Role != old.Role || a.Leaving != old.Leaving)
+	}
+}
+
+// restart forgets what was known of an earlier life of the upstream, which may
+// have come back with less than it had.
+func (e *Entry) restart(i *entryInstance) {
+	i.isLeft = false
+	i.known, i.isFresh, i.role = false, false, catalog.RoleUnknown
+	i.lowest, i.cutAt = 0, 0
+	i.limit = float64(max(1, i.service.settings.Limits.Slots))
+	i.nextProbe, i.openAfter, i.backoff = e.now, e.now, 0
+}
+
+// abandon closes the connections that do no work now, and the others when
+// they are free.
+func (e *Entry) abandon(i *entryInstance) {
+	for _, c := range i.conns {
+		c.doomed = true
+		if c.state == connIdle {
+			e.closeConn(c)
+		}
+	}
+}
+
+func (e *Entry) relay(i *entryInstance, urgent bool) {
+	if !urgent && i.relayed && e.now.Before(i.relayedAt.Add(relayInterval)) {
+		return
+	}
+	i.relayed, i.relayedAt = true, e.now
+	if urgent {
+		e.report.urgent = true
+	}
+	for _, vm := range e.options.Peers {
+		a := i.announcement
+		e.emit(SendPeer{To: vm, Message: wire.Message{Announcement: &a}})
+	}
+}
+
+// takesWork reports whether new work may go to the upstream.
+func (e *Entry) takesWork(i *entryInstance) bool {
+	return i.service.accepted && !i.isLeft && e.now.Before(i.heard.Add(e.options.Timings.Announce))
+}
+
+// observes reports whether this entry is one of the observers of a service
+// within its site, chosen by rendezvous hashing.
+func (e *Entry) observes(id catalog.ServiceID) bool {
+	n := e.options.Observers
+	if n == 0 || n >= len(e.siteVMs) {
+		return true
+	}
+	own := rendezvous(e.options.VM, id)
+	ahead := 0
+	for _, vm := range e.siteVMs {
+		w := rendezvous(vm, id)
+		if w > own || (w == own && vm < e.options.VM) {
+			ahead++
+		}
+	}
+	return ahead < n
+}
+
+func rendezvous(vm catalog.VMID, id catalog.ServiceID) uint64 {
+	return xxhash.Sum64String(string(vm) + "\x00" + string(id))
+}
--- /dev/null
+++ b/node/entry_probe.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+func (e *Entry) seeAlive(i *entryInstance) {
+	i.alive, i.wasAlive = e.now, true
+	i.evidence, i.evidenceAt = wire.EvidenceAlive, e.now
+}
+
+// seeEvidence notes a failed attempt. Against a primary it is reported at
+// once, and a refusal is confirmed by one attempt to connect.
+func (e *Entry) seeEvidence(i *entryInstance, v wire.Evidence) {
+	wasRefused := i.evidence == wire.EvidenceRefused
+	i.evidence, i.evidenceAt = v, e.now
+	if v == wire.EvidenceRefused {
+		i.known, i.isFresh = false, false
+	}
+	if i.service.primary.Instance != i.id {
+		return
+	}
+	e.report.urgent = true
+	if v == wire.EvidenceRefused && !wasRefused {
+		i.confirm = true
+	}
+}
+
+// settleProbe asks an upstream for its role and position when it is time, or
+// at once if requests wait for the answer.
+func (e *Entry) settleProbe(i *entryInstance) {
+	if e.stopped || i.probeConn != 0 || !i.service.accepted {
+		return
+	}
+	due := i.nextProbe
+	if e.probeWanted(i) {
+		due = min(i.probedAt.Add(urgentProbe), i.nextProbe)
+		if i.id == i.service.primary.Instance {
+			due = e.now
+		}
+	} else if !e.observes(i.service.id) && !e.inUse(i.service) {
+		return
+	}
+	var idle *entryConn
+	for _, c := range i.conns {
+		if c.state == connIdle && !c.doomed {
+			idle = c
+			break
+		}
+	}
+	if idle == nil {
+		return
+	}
+	if due.After(e.now) {
+		e.wake(due)
+		return
+	}
+	idle.state = connProbing
+	i.probeConn, i.probedAt = idle.id, e.now
+	i.nextProbe = e.now.Add(e.options.Timings.Probe)
+	e.emit(Probe{Conn: idle.id, Deadline: e.now.Add(e.options.Timings.ProbeTimeout)})
+}
+
+// probeWanted reports whether requests wait for the upstream's position.
+func (e *Entry) probeWanted(i *entryInstance) bool {
+	s := i.service
+	if s.primary.Instance != i.id {
+		return len(s.replicating) > 0 || s.waitsForReplica()
+	}
+	for _, r := range s.replicating {
+		if r.reached.Zero() {
+			return true
+		}
+	}
+	for _, q := range s.waiting {
+		for _, r := range q {
+			if r.FloorUnknown && !r.floorKnown {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// waitsForReplica reports whether a read waits for a replica to catch up.
+func (s *entryService) waitsForReplica() bool {
+	for _, q := range s.waiting {
+		for _, r := range q {
+			if r.proof {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (e *Entry) takeProbe(v ProbeDone) {
+	c := e.conns[v.Conn]
+	if c == nil || c.instance.probeConn != c.id {
+		return
+	}
+	i := c.instance
+	i.probeConn = 0
+	if c.state == connClosing && v.Evidence != wire.EvidenceAlive {
+		return
+	}
+	if v.Evidence != wire.EvidenceAlive {
+		e.seeEvidence(i, v.Evidence)
+		e.closeConn(c)
+		return
+	}
+	e.seeAlive(i)
+	e.learn(i, v.Role, v.Position, v.SentAt)
+	if c.state == connProbing {
+		e.free(c)
+	}
+}
+
+// learn takes an upstream's first-hand word of its role and position.
+func (e *Entry) learn(i *entryInstance, role catalog.Role, at catalog.Position, sentAt catalog.Instant) {
+	if sentAt.Before(i.knownAt) {
+		return
+	}
+	if role != catalog.RoleUnknown {
+		i.role = role
+	}
+	i.known, i.knownAt, i.position = true, sentAt, at
+	s := i.service
+	if s.primary.Instance == i.id {
+		if e.leaseCan(s, s.primary.Epoch, e.now) && i.role == catalog.RolePrimary && at.Term >= s.primary.Term {
+			e.pushRing(s, ringEntry{sentAt: sentAt, position: at})
+			e.floorsFrom(s, sentAt, at)
+		}
+		return
+	}
+	e.refresh(s, i)
+}
+
+// pushRing adds a position of the primary. Entries closer together than two
+// probes are thinned out, so that the ring reaches far enough back.
+func (e *Entry) pushRing(s *entryService, x ringEntry) {
+	n := len(s.ring)
+	if n > 0 && x.sentAt.Before(s.ring[n-1].sentAt) {
+		return
+	}
+	if n > 1 && s.ring[n-1].sentAt.Sub(s.ring[n-2].sentAt) < e.options.Timings.Probe/2 {
+		s.ring = s.ring[:n-1]
+	}
+	if len(s.ring) >= ringSize {
+		s.ring = append(s.ring[:0:0], s.ring[1:]...)
+	}
+	s.ring = append(s.ring, x)
+	for _, i := range s.instances {
+		if i.id != s.primary.Instance {
+			e.refresh(s, i)
+		}
+	}
+}
+
+// refresh works out how fresh a replica is known to be.
+func (e *Entry) refresh(s *entryService, i *entryInstance) {
+	if !i.known {
+		return
+	}
+	for n := len(s.ring) - 1; n >= 0; n-- {
+		x := s.ring[n]
+		if i.isFresh && !x.sentAt.After(i.fresh) {
+			return
+		}
+		if s.primary.Forks.Covers(i.position, x.position) {
+			i.fresh, i.isFresh = x.sentAt, true
+			return
+		}
+	}
+}
+
+// floorsFrom answers the reads that waited for the primary's position and
+// arrived before the question was sent.
+func (e *Entry) floorsFrom(s *entryService, sentAt catalog.Instant, at catalog.Position) {
+	for _, q := range s.waiting {
+		for _, r := range q {
+			if r.FloorUnknown && !r.floorKnown && !sentAt.Before(r.arrived) {
+				r.floorKnown = true
+				if r.Floor.Less(at) {
+					r.Floor = at
+				}
+				e.span("floor-wait", r, r.arrived)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/node/entry_queue.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// queueDefault is the most requests that wait per service if none is set.
+const queueDefault = 256
+
+// placement is what one pass over a service's queues has seen so far.
+type placement struct {
+	// primary counts requests that wait for the primary, booking is set if
+	// one of them is a booking, replica counts reads that wait for a replica.
+	primary int
+	booking bool
+	replica int
+}
+
+// dispatch places waiting requests, most urgent class first, and refuses what
+// can't make its deadline or finds the queue full.
+func (e *Entry) dispatch(s *entryService) {
+	var p placement
+	for class := range s.waiting {
+		kept := s.waiting[class][:0]
+		for _, r := range s.waiting[class] {
+			if !e.place(s, r, &p) {
+				kept = append(kept, r)
+			}
+		}
+		s.waiting[class] = kept
+	}
+	e.shed(s)
+}
+
+// place reports whether the request left the queue, be it started or refused.
+func (e *Entry) place(s *entryService, r *entryRequest, p *placement) bool {
+	if !s.accepted {
+		e.refuse(r, "the service is not in the accepted configuration", time.Second)
+		return true
+	}
+	if !e.now.Before(r.Deadline) {
+		e.refuse(r, "no upstream was free before the deadline", s.serve)
+		return true
+	}
+	if r.isRead() {
+		return e.placeRead(s, r, p)
+	}
+	return e.placeWrite(s, r, p)
+}
+
+// shed refuses the last requests of the lowest class while too many wait.
+func (e *Entry) shed(s *entryService) {
+	most := e.options.Queue
+	if most == 0 {
+		most = queueDefault
+	}
+	for over := s.waitingCount() - most; over > 0; over-- {
+		for class := len(s.waiting) - 1; class >= 0; class-- {
+			q := s.waiting[class]
+			if len(q) == 0 {
+				continue
+			}
+			r := q[len(q)-1]
+			s.waiting[class] = q[:len(q)-1]
+			e.refuse(r, "too many requests wait for this service", s.waitFor(s.waitingCount()))
+			break
+		}
+	}
+}
+
+// waitFor estimates how long n requests ahead take.
+func (s *entryService) waitFor(n int) time.Duration {
+	slots := max(1, s.settings.Limits.Slots)
+	return s.serve * time.Duration(n+1) / time.Duration(slots)
+}
+
+// hopeless reports whether a request with n ahead of it would miss its
+// deadline.
+func (e *Entry) hopeless(r *entryRequest, n int) bool {
+	if e.now.Add(r.service.waitFor(n)).Before(r.Deadline) {
+		e.wake(r.Deadline.Add(-r.service.serve))
+		return false
+	}
+	return true
+}
+
+// hasSlot reports whether the upstream may run one more request of a class.
+// Browsing leaves one place free so that bookings find room.
+func (i *entryInstance) hasSlot(class Class) bool {
+	n := max(1, int(i.limit))
+	if class == ClassBrowse && n > 1 {
+		n--
+	}
+	return i.running+i.short < n
+}
+
+// adapt lets the running limit grow slowly while answers are quick and cuts it
+// when they take much longer than the quickest seen.
+func (e *Entry) adapt(i *entryInstance, took time.Duration) {
+	most := float64(max(1, i.service.settings.Limits.Slots))
+	if i.lowest == 0 || took < i.lowest {
+		i.lowest = max(took, 1)
+	}
+	i.lowest += i.lowest / 256
+	if took > slowFactor*i.lowest && took > i.lowest+slowSlack {
+		if e.now.Sub(i.cutAt) > took {
+			i.limit, i.cutAt = max(1, i.limit*limitCut), e.now
+		}
+		return
+	}
+	i.limit = min(most, i.limit+1/max(1, i.limit))
+}
+
+// retry puts a request that may run again back at the head of its queue. It
+// reports false when its tries, its deadline or the retry budget are used up.
+func (e *Entry) retry(r *entryRequest, most int) bool {
+	s := r.service
+	r.tries++
+	if r.tries >= most || !e.now.Before(r.Deadline) || s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	e.count("retries")
+	e.requeue(r)
+	return true
+}
+
+func (e *Entry) requeue(r *entryRequest) {
+	s := r.service
+	r.avoid, r.queued, r.verify = r.instance, e.now, false
+	s.waiting[r.Class] = append([]*entryRequest{r}, s.waiting[r.Class]...)
+}
+
+// usable reports whether new work may start at the upstream now.
+func (e *Entry) usable(i *entryInstance) bool {
+	return e.takesWork(i) && !e.now.Before(i.pausedUntil)
+}
+
+// primaryReady returns the primary if new work may start there.
+func (e *Entry) primaryReady(s *entryService) *entryInstance {
+	i := s.primaryInstance()
+	if i == nil || !e.canStart(s) || !e.usable(i) || i.role == catalog.RoleReplica {
+		return nil
+	}
+	return i
+}
--- /dev/null
+++ b/node/entry_settings.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// takeSettings takes a higher version of the accepted configuration.
+func (e *Entry) takeSettings(a wire.Answer) {
+	if a.Version <= e.version || (len(a.Settings) == 0 && !a.Whole) {
+		return
+	}
+	e.version = a.Version
+	if a.Whole {
+		for _, id := range e.order {
+			e.services[id].accepted = false
+		}
+	}
+	for _, c := range a.Settings {
+		e.configure(c)
+	}
+}
+
+func (e *Entry) configure(c catalog.Service) {
+	s := e.service(c.ID)
+	changed := s.settings.Limits.Slots != c.Limits.Slots
+	s.settings = c
+	s.accepted = true
+	if !changed {
+		return
+	}
+	for _, i := range s.instances {
+		i.limit = float64(max(1, c.Limits.Slots))
+	}
+}
--- /dev/null
+++ b/node/entry_state.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// Lengths of time and bounds of the entry's decisions.
+const (
+	timerFloor      = time.Millisecond
+	urgentReport    = 5 * time.Millisecond
+	relayInterval   = time.Second
+	idleBound       = 10 * time.Second
+	usedBound       = time.Minute
+	demandWindow    = 500 * time.Millisecond
+	urgentProbe     = 3 * time.Millisecond
+	backoffFirst    = 20 * time.Millisecond
+	backoffMost     = 2 * time.Second
+	failoverBound   = 8 * time.Second
+	retryLeast      = 50 * time.Millisecond
+	retryMost       = 5 * time.Second
+	readTries       = 3
+	verifyTries     = 2
+	writeTries      = 5
+	ringSize        = 128
+	retryBurst      = 10.0
+	retryShare      = 0.1
+	slowFactor      = 4
+	slowSlack       = 5 * time.Millisecond
+	limitCut        = 0.9
+	firstServeGuess = 2 * time.Millisecond
+)
+
+// entryService is what the entry knows of one service.
+type entryService struct {
+	id       catalog.ServiceID
+	settings catalog.Service
+	// accepted is set while the service is in the accepted configuration.
+	accepted bool
+	// primary is the choice of the highest epoch known. Invariant: its epoch
+	// never goes back.
+	primary catalog.Primary
+	// leaseEpoch and leaseUntil are the newest lease.
+	leaseEpoch catalog.Epoch
+	leaseUntil catalog.Instant
+	// revoked is the highest epoch that was fenced. Invariant: no write of it
+	// or of a lower one is acknowledged any more.
+	revoked catalog.Epoch
+	// draining is the epoch whose work is let end, zero if none; drainFor
+	// waits for the fence.
+	draining catalog.Epoch
+	drainFor []catalog.VMID
+	// unledSince is when the lease was last lost, zero while it holds.
+	unledSince catalog.Instant
+
+	// instances ascend by id.
+	instances []*entryInstance
+	waiting   [Classes][]*entryRequest
+	// replicating are writes that wait for a majority.
+	replicating []*entryRequest
+	// running are the requests at upstreams, in the order of their start.
+	running []*entryRequest
+	// ring holds positions of leased primaries, oldest first.
+	ring []ringEntry
+	// used is when a caller last asked for the service.
+	used    catalog.Instant
+	wasUsed bool
+	// tokens is the retry budget.
+	tokens float64
+	// serve is the smoothed time that a request takes at an upstream.
+	serve time.Duration
+}
+
+// ringEntry says that the primary had reached Position when it was asked.
+type ringEntry struct {
+	sentAt   catalog.Instant
+	position catalog.Position
+}
+
+// entryInstance is what the entry knows of one upstream.
+type entryInstance struct {
+	id           catalog.InstanceID
+	service      *entryService
+	site         catalog.SiteID
+	own          bool
+	announcement catalog.Announcement
+	heard        catalog.Instant
+	// direct is the last announcement heard first-hand; pending is set until
+	// a report with it was answered, includedIn the first report with it.
+	direct     catalog.Announcement
+	pending    bool
+	includedIn uint64
+	relayedAt  catalog.Instant
+	relayed    bool
+	// isLeft is set once the upstream has said that it is leaving. Invariant:
+	// it stays set for that life.
+	isLeft bool
+
+	alive      catalog.Instant
+	wasAlive   bool
+	evidence   wire.Evidence
+	evidenceAt catalog.Instant
+	confirm    bool
+	role       catalog.Role
+	position   catalog.Position
+	// knownAt is when the question that gave role and position was sent.
+	knownAt catalog.Instant
+	known   bool
+	// fresh is the newest instant of the ring that the position covers.
+	fresh   catalog.Instant
+	isFresh bool
+
+	// grant and grantUntil are the newest grant; surplusUntil is when what is
+	// held beyond it must be gone.
+	grant        int
+	grantUntil   catalog.Instant
+	surplusUntil catalog.Instant
+	// conns ascend by id and hold opening and closing ones too.
+	conns     []*entryConn
+	backoff   time.Duration
+	openAfter catalog.Instant
+	// short counts requests that found no connection in this step.
+	short       int
+	demand      [2]int
+	demandUntil catalog.Instant
+	wantedTold  int
+
+	nextProbe catalog.Instant
+	// probeConn carries the probe in flight, zero if none is.
+	probeConn catalog.ConnID
+	probedAt  catalog.Instant
+	running   int
+	limit     float64
+	lowest    time.Duration
+	cutAt     catalog.Instant
+	// pausedUntil keeps new work away after it said it takes none.
+	pausedUntil catalog.Instant
+}
+
+type connState uint8
+
+const (
+	connOpening connState = iota
+	connIdle
+	connBusy
+	connHeld
+	connProbing
+	connClosing
+)
+
+// entryConn is one upstream connection. Invariant: at most one request or
+// probe uses it at a time.
+type entryConn struct {
+	id       catalog.ConnID
+	instance *entryInstance
+	state    connState
+	request  *entryRequest
+	// inTransaction is set while a caller's transaction holds it, writes if
+	// the transaction may write, epoch is that of its start.
+	inTransaction bool
+	writes        bool
+	atPrimary     bool
+	epoch         catalog.Epoch
+	// doomed is set if it must be closed as soon as it is free.
+	doomed    bool
+	idleSince catalog.Instant
+}
+
+// entryRequest is a request that was not answered yet.
+type entryRequest struct {
+	RequestArrived
+	service   *entryService
+	arrived   catalog.Instant
+	queued    catalog.Instant
+	startedAt catalog.Instant
+	instance  *entryInstance
+	conn      catalog.ConnID
+	epoch     catalog.Epoch
+	atPrimary bool
+	verify    bool
+	// floorKnown is set once Floor is what the read must cover.
+	floorKnown bool
+	tries      int
+	verifies   int
+	// ran is set once the request may have run somewhere.
+	ran bool
+	// proof is set while the read waits for a replica to be shown new enough.
+	proof bool
+	// writes is set if the request may end a transaction that writes.
+	writes bool
+	// avoid is the instance that failed it last.
+	avoid *entryInstance
+	// reached is the position of a write that waits for replicas.
+	reached catalog.Position
+	doneAt  catalog.Instant
+}
+
+func (r *entryRequest) isRead() bool {
+	return r.Kind == KindRead || r.Kind == KindBeginRead
+}
+
+func (e *Entry) service(id catalog.ServiceID) *entryService {
+	if s := e.services[id]; s != nil {
+		return s
+	}
+	s := &entryService{id: id, tokens: retryBurst, serve: firstServeGuess, unledSince: e.now}
+	e.services[id] = s
+	n := sort.Search(len(e.order), func(i int) bool { return e.order[i] >= id })
+	e.order = append(e.order, "")
+	copy(e.order[n+1:], e.order[n:])
+	e.order[n] = id
+	return s
+}
+
+func (s *entryService) instance(id catalog.InstanceID) *entryInstance {
+	for _, i := range s.instances {
+		if i.id == id {
+			return i
+		}
+	}
+	return nil
+}
+
+func (s *entryService) addInstance(id catalog.InstanceID) *entryInstance {
+	i := &entryInstance{id: id, service: s}
+	s.instances = append(s.instances, i)
+	sort.Slice(s.instances, func(a, b int) bool { return s.instances[a].id < s.instances[b].id })
+	return i
+}
+
+func (s *entryService) primaryInstance() *entryInstance {
+	if s.primary.Instance == "" {
+		return nil
+	}
+	return s.instance(s.primary.Instance)
+}
+
+func (s *entryService) waitingCount() int {
+	n := 0
+	for _, q := range s.waiting {
+		n += len(q)
+	}
+	return n
+}
+
+func without(rs []*entryRequest, r *entryRequest) []*entryRequest {
+	for n, x := range rs {
+		if x == r {
+			return append(rs[:n:n], rs[n+1:]...)
+		}
+	}
+	return rs
+}
