--- /dev/null
+++ b/node/entry_seam_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// playBroken plays a script with one rule turned off and returns the faults
+// that the world noticed.
+func playBroken(t *testing.T, change func(*Entry), script string) string {
+	t.Helper()
+	w := newFakeWorld(testOptions())
+	change(w.entry)
+	for _, line := range strings.Split(strings.TrimSpace(script), "\n") {
+		if err := w.play(strings.Fields(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return strings.Join(w.faults, "\n")
+}
+
+const seamStart = `upstream a role=primary at=1:100 grant=6
+control primary=a epoch=1 term=1 ready=yes
+run 300ms
+upstream a held=yes
+write 1
+write 2
+write 3
+run 50ms
+control deaf=yes
+run 700ms
+`
+
+func TestLeaseCheckIsNoticed(t *testing.T) {
+	off := func(e *Entry) {
+		e.leaseCan = func(*entryService, catalog.Epoch, catalog.Instant) bool { return true }
+	}
+	if faults := playBroken(t, func(*Entry) {}, seamStart+"done 1"); faults != "" {
+		t.Error(faults)
+	}
+	if faults := playBroken(t, off, seamStart+"done 1"); !strings.Contains(faults, "without a lease") {
+		t.Errorf("an entry that ignores leases was not noticed: %q", faults)
+	}
+}
+
+func TestAllowanceCheckIsNoticed(t *testing.T) {
+	off := func(e *Entry) {
+		e.allowed = func(*entryInstance, catalog.Instant) int { return 20 }
+	}
+	if faults := playBroken(t, func(*Entry) {}, seamStart); faults != "" {
+		t.Error(faults)
+	}
+	if faults := playBroken(t, off, seamStart); !strings.Contains(faults, "connections are open") {
+		t.Errorf("an entry that ignores grants was not noticed: %q", faults)
+	}
+}
