node: give up what can't end well at the entry

Grants are kept as a list so that two shrinks within one length never leave more open than control counts. Requests at a replaced primary end at once, reads avoid silent replicas, and a write whose deadline is before the shortest failover seen is refused at once.

--- a/node/entry.go
+++ b/node/entry.go
@@ -160,6 +160,7 @@
 		e.settleLease(s)
 		for _, i := range s.instances {
 			e.trim(i)
+			e.giveUp(i)
 			i.short = 0
 		}
 		e.settleReplication(s)
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -8,14 +8,28 @@
 )
 
 // allowance is how many connections to the upstream may be held now: the
-// grant, and for an upstream of the own site the standing share.
+// newest grant, and for an upstream of the own site the standing share.
 func allowance(i *entryInstance, now catalog.Instant) int {
-	n := 0
-	if now.Before(i.grantUntil) {
-		n = i.grant
+	n := i.standingShare()
+	if last := len(i.grants) - 1; last >= 0 && now.Before(i.grants[last].until) {
+		n += i.grants[last].connections
 	}
+	return n
+}
+
+func (i *entryInstance) standingShare() int {
 	if i.own && i.service.accepted {
-		n += i.service.settings.Limits.LocalShare
+		return i.service.settings.Limits.LocalShare
+	}
+	return 0
+}
+
+// tolerated is how many connections control still counts: the largest grant
+// that has not run out, and the standing share.
+func (i *entryInstance) tolerated() int {
+	n := i.standingShare()
+	if len(i.grants) > 0 {
+		n += i.grants[0].connections
 	}
 	return n
 }
@@ -25,35 +39,33 @@
 	i := s.instance(g.Instance)
 	if i == nil {
 		i = s.addInstance(g.Instance)
-		i.heard = e.now - catalog.Instant(e.options.Timings.Announce)
+		i.heard = e.now.Add(-e.options.Timings.Announce)
 		e.restart(i)
 	}
 	until := sent.Add(g.Length - e.options.Timings.Drift)
-	if g.Connections < i.grant && e.now.Before(i.grantUntil) && i.surplusUntil < i.grantUntil {
-		i.surplusUntil = i.grantUntil
+	kept := len(i.grants)
+	for kept > 0 && (i.grants[kept-1].connections <= g.Connections || !i.grants[kept-1].until.Before(until)) {
+		kept--
 	}
-	i.grant, i.grantUntil = g.Connections, until
+	i.grants = append(i.grants[:kept:kept], instanceGrant{connections: g.Connections, until: until})
 }
 
 // trim closes what is held beyond the allowance: idle connections at once,
 // others when they are free, at the latest when the grant that allowed them
 // runs out.
 func (e *Entry) trim(i *entryInstance) {
-	over := i.open() - e.allowed(i, e.now)
-	if e.now.Before(i.grantUntil) {
-		e.wake(i.grantUntil)
+	for len(i.grants) > 0 && !e.now.Before(i.grants[0].until) {
+		i.grants = i.grants[1:]
 	}
-	if over <= 0 {
-		return
+	if len(i.grants) > 0 {
+		e.wake(i.grants[0].until)
 	}
-	over -= e.closeSome(i, over, connIdle)
+	over := i.open() - e.allowed(i, e.now)
 	if over <= 0 {
 		return
 	}
-	if e.now.Before(i.surplusUntil) {
-		e.wake(i.surplusUntil)
-		return
-	}
+	e.closeSome(i, over, connIdle)
+	over = i.open() - max(i.tolerated(), e.allowed(i, e.now))
 	for _, state := range []connState{connOpening, connProbing, connBusy, connHeld} {
 		over -= e.closeSome(i, over, state)
 	}
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -61,6 +61,36 @@
 	}
 }
 
+// giveUp closes connections whose requests can't end well any more: those at
+// a replaced primary, and reads at an upstream that went silent.
+func (e *Entry) giveUp(i *entryInstance) {
+	s := i.service
+	silent := i.evidence == wire.EvidenceSilent && e.now.Sub(i.alive) > e.options.Timings.Suspect
+	for _, c := range i.conns {
+		r := c.request
+		if c.state != connBusy || r == nil {
+			continue
+		}
+		replaced := r.atPrimary && r.epoch < s.primary.Epoch && s.primary.Ready
+		if replaced || (silent && r.Kind == KindRead) {
+			e.closeConn(c)
+		}
+	}
+}
+
+// forget drops an upstream that has been gone for long.
+func (e *Entry) forget(s *entryService) {
+	kept := s.instances[:0]
+	for _, i := range s.instances {
+		gone := e.now.Sub(i.heard) > usedBound && i.id != s.primary.Instance &&
+			len(i.conns) == 0 && i.running == 0
+		if !gone {
+			kept = append(kept, i)
+		}
+	}
+	s.instances = kept
+}
+
 func (e *Entry) relay(i *entryInstance, urgent bool) {
 	if !urgent && i.relayed && e.now.Before(i.relayedAt.Add(relayInterval)) {
 		return
--- a/node/entry_lease.go
+++ b/node/entry_lease.go
@@ -57,12 +57,7 @@
 		return
 	}
 	old.known, old.role, old.isFresh = false, catalog.RoleUnknown, false
-	for _, c := range old.conns {
-		c.doomed = true
-		if c.state == connIdle || c.state == connHeld {
-			e.closeConn(c)
-		}
-	}
+	e.abandon(old)
 }
 
 // takeReady forgets what the primary said before it was promoted.
@@ -137,9 +132,9 @@
 	if held {
 		e.wake(s.leaseUntil)
 		if s.unledSince != 0 {
-			e.emit(Span{Name: "without-lease", Service: s.id, Start: s.unledSince, End: e.now})
-			s.unledSince = 0
+			e.noteGap(s)
 		}
+		s.ledEpoch = s.primary.Epoch
 		return
 	}
 	if s.unledSince == 0 {
@@ -148,6 +143,16 @@
 	}
 }
 
+// noteGap ends a time without a lease.
+func (e *Entry) noteGap(s *entryService) {
+	gap := e.now.Sub(s.unledSince)
+	e.emit(Span{Name: "without-lease", Service: s.id, Start: s.unledSince, End: e.now})
+	s.unledSince = 0
+	if s.ledEpoch != 0 && s.ledEpoch != s.primary.Epoch && (s.gap == 0 || gap < s.gap) {
+		s.gap = gap
+	}
+}
+
 // writing reports whether work of the epoch or before is in progress.
 func (s *entryService) writing(epoch catalog.Epoch) bool {
 	for _, r := range s.running {
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
 )
 
 // placeRead runs a read at a replica that is shown to be new enough, else at
@@ -65,7 +66,7 @@
 // likely do, the best first.
 func (e *Entry) candidates(s *entryService, r *entryRequest) (shown, likely []*entryInstance) {
 	for _, i := range s.instances {
-		if !e.isReplica(s, i) || !e.young(i, r.MaxAge) {
+		if r.primaryOnly || !e.isReplica(s, i) || !e.young(i, r.MaxAge) {
 			continue
 		}
 		if s.primary.Forks.Covers(i.position, r.Floor) {
@@ -99,7 +100,7 @@
 // of the group's living history, and takes new work.
 func (e *Entry) isReplica(s *entryService, i *entryInstance) bool {
 	return i.id != s.primary.Instance && i.known && i.role == catalog.RoleReplica &&
-		e.usable(i) && e.onHistory(s, i)
+		i.evidence == wire.EvidenceAlive && e.usable(i) && e.onHistory(s, i)
 }
 
 // onHistory reports whether all that the upstream holds is part of the history
@@ -200,6 +201,7 @@
 			e.answerUnknown(r, "the connection broke before the answer arrived")
 		}
 	default:
+		r.primaryOnly = r.primaryOnly || v.Outcome == OutcomeReadOnly
 		if v.CallerGone || !e.retry(r, readTries) {
 			e.refuse(r, "the upstream took no statements", r.service.serve)
 		}
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -99,6 +99,7 @@
 		if s.accepted {
 			m.Services = append(m.Services, id)
 		}
+		e.forget(s)
 		for _, i := range s.instances {
 			e.reportInstance(m, s, i)
 		}
@@ -182,8 +183,7 @@
 	p.leader = ""
 	if a.Leader != "" && a.Leader != from {
 		p.leader = a.Leader
-		p.unanswered = 0
-		p.urgent = true
+		p.urgent = p.unanswered <= leaderReports
 	}
 }
 
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -55,6 +55,10 @@
 	drainFor []catalog.VMID
 	// unledSince is when the lease was last lost, zero while it holds.
 	unledSince catalog.Instant
+	// gap is the shortest time without a lease at a change of primary.
+	gap time.Duration
+	// ledEpoch is the epoch of the last lease that was used.
+	ledEpoch catalog.Epoch
 
 	// instances ascend by id.
 	instances []*entryInstance
@@ -113,11 +117,9 @@
 	fresh   catalog.Instant
 	isFresh bool
 
-	// grant and grantUntil are the newest grant; surplusUntil is when what is
-	// held beyond it must be gone.
-	grant        int
-	grantUntil   catalog.Instant
-	surplusUntil catalog.Instant
+	// grants are those that have not run out, the newest last. Invariant:
+	// connections descend and until ascends.
+	grants []instanceGrant
 	// conns ascend by id and hold opening and closing ones too.
 	conns     []*entryConn
 	backoff   time.Duration
@@ -140,6 +142,12 @@
 	pausedUntil catalog.Instant
 }
 
+// instanceGrant allows connections to an upstream until it runs out.
+type instanceGrant struct {
+	connections int
+	until       catalog.Instant
+}
+
 type connState uint8
 
 const (
@@ -191,6 +199,8 @@
 	proof bool
 	// writes is set if the request may end a transaction that writes.
 	writes bool
+	// primaryOnly is set for a read that a replica refused as a write.
+	primaryOnly bool
 	// avoid is the instance that failed it last.
 	avoid *entryInstance
 	// reached is the position of a write that waits for replicas.
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -48,6 +48,10 @@
 		e.refuse(r, "this entry is stopping", retryLeast)
 		return true
 	}
+	if end := s.unledSince.Add(s.gap); s.unledSince != 0 && s.gap > 0 && !end.Before(r.Deadline) {
+		e.refuse(r, "the primary is being replaced", end.Sub(e.now))
+		return true
+	}
 	e.wake(e.report.answeredAt.Add(t.Lease + 2*t.Election + 1))
 	if s.unledSince != 0 {
 		e.wake(s.unledSince.Add(failoverBound + 1))
