link: carry messages between processes that prove a shared key

One connection from each sender to each receiver, so that neither end needs to agree on who dials. Weighed: one connection for both ways (needs a tie-break when both dial) and proofs in HTTP headers (can be replayed). Both ends prove the key by a challenge of the other.

--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,86 @@
+package link
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+func start(t *testing.T, vm catalog.VMID, key string, peers map[catalog.VMID]string) (*Hub, chan wire.Message, chan error) {
+	t.Helper()
+	got, refused := make(chan wire.Message, 16), make(chan error, 16)
+	h := NewHub(Options{
+		VM: vm, Key: []byte(key), Peers: peers,
+		Receive: func(_ catalog.VMID, m wire.Message) { got <- m },
+		Refused: func(err error) {
+			select {
+			case refused <- err:
+			default:
+			}
+		},
+	})
+	t.Cleanup(h.Close)
+	mux := http.NewServeMux()
+	mux.Handle(Path, h)
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	peers[vm] = strings.TrimPrefix(s.URL, "http://")
+	return h, got, refused
+}
+
+func TestMessagesArriveFromProvedPeers(t *testing.T) {
+	peers := map[catalog.VMID]string{}
+	_, got, _ := start(t, "b", "key", peers)
+	a, _, _ := start(t, "a", "key", peers)
+	a.Send("b", wire.Message{Fenced: &wire.Fenced{VM: "a", Epoch: 3}})
+	select {
+	case m := <-got:
+		if m.Fenced == nil || m.Fenced.Epoch != 3 {
+			t.Fatalf("got %+v", m)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("no message came")
+	}
+}
+
+func TestPeerWithAnotherKeyIsRefused(t *testing.T) {
+	peers := map[catalog.VMID]string{}
+	_, got, refused := start(t, "b", "key", peers)
+	a, _, _ := start(t, "a", "other", peers)
+	a.Send("b", wire.Message{Fenced: &wire.Fenced{VM: "a"}})
+	select {
+	case err := <-refused:
+		if !strings.Contains(err.Error(), "shared key") {
+			t.Fatalf("refused for %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nobody was refused")
+	}
+	if len(got) != 0 {
+		t.Fatal("a message came through")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(wire.Message{Report: &wire.Report{VM: "a", Observations: []wire.Observation{{Instance: "i"}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(m); err != nil {
+			t.Fatalf("decoded but not encoded: %v", err)
+		}
+	})
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -22,8 +22,7 @@
 	Fenced       *Fenced               `cbor:"4,keyasint,omitempty"`
 	Announcement *catalog.Announcement `cbor:"5,keyasint,omitempty"`
 	Quorum       *Quorum               `cbor:"6,keyasint,omitempty"`
-	Ask          *Ask                  `cbor:"7,keyasint,omitempty"`
-	Told         *Told                 `cbor:"8,keyasint,omitempty"`
+	Join         *Join                 `cbor:"7,keyasint,omitempty"`
 }
 
 // Evidence says how an attempt to use an upstream ended.
@@ -119,6 +118,15 @@
 	Settings []catalog.Service `cbor:"7,keyasint,omitempty"`
 	// Whole says that Settings lists every service.
 	Whole bool `cbor:"8,keyasint,omitempty"`
+	// Drained lists the upstreams that operators keep new work from. It goes
+	// with Settings.
+	Drained []catalog.InstanceID `cbor:"9,keyasint,omitempty"`
+}
+
+// Join is sent by a control VM whose incarnation is not yet a member.
+type Join struct {
+	VM          catalog.VMID        `cbor:"1,keyasint"`
+	Incarnation catalog.Incarnation `cbor:"2,keyasint"`
 }
 
 // Revoke asks an entry to give up its lease for the epoch and all before it.
@@ -143,15 +151,3 @@
 type Quorum struct {
 	Body []byte `cbor:"1,keyasint"`
 }
-
-// Ask carries an operator's request to the leader.
-type Ask struct {
-	Number uint64 `cbor:"1,keyasint"`
-	Body   []byte `cbor:"2,keyasint"`
-}
-
-// Told carries the answer to an Ask.
-type Told struct {
-	Number uint64 `cbor:"1,keyasint"`
-	Body   []byte `cbor:"2,keyasint"`
-}
