node: decide primaries, leases and grants in the control reducer

Control fences an epoch before it surveys, elects and promotes. A survey that never restarted after a silent one was found by the test of replicated writes: the pause was pushed on at every step. Grants are counted as the most that may still be held, so that the limit holds while answers are lost.

--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"sort"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/registry"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// ControlOptions sets up a control reducer.
+type ControlOptions struct {
+	VM      catalog.VMID
+	Timings catalog.Timings
+	// Members are the control VMs of the settings, in order.
+	Members []catalog.VMID
+	// Entries says which entry VMs exist and where. Grants are counted
+	// against it, so that a VM that is not listed gets none.
+	Entries map[catalog.VMID]catalog.SiteID
+	// Services is the configuration proposed by the first leader if there is
+	// none yet.
+	Services []catalog.Service
+	// Saved is what the data folder held at the start.
+	Saved         quorum.Saved
+	SnapshotAfter int
+	Seed          uint64
+}
+
+// Control is the reducer of a control VM.
+type Control struct {
+	options ControlOptions
+	quorum  *quorum.Group
+	state   *registry.State
+	// applied is the last record that state holds.
+	applied quorum.Index
+	now     catalog.Instant
+	effects []Effect
+	timer   catalog.Instant
+
+	// What follows is the leader's own and is lost with its office.
+
+	leading bool
+	// graceEnds is when every lease and grant of earlier leaders has run out.
+	graceEnds catalog.Instant
+	entries   map[catalog.VMID]*entryView
+	upstreams map[catalog.InstanceID]*upstreamView
+	failovers map[catalog.ServiceID]*failover
+	proposals map[quorum.Index]proposal
+	joins     map[catalog.VMID]catalog.Incarnation
+	// evidence is what each entry saw of each upstream.
+	evidence map[catalog.InstanceID]map[catalog.VMID]observation
+	// suspects are looked at in every sweep until the instant given.
+	suspects   map[catalog.ServiceID]catalog.Instant
+	watchAllAt catalog.Instant
+	surveys    uint64
+	followAt   catalog.Instant
+	joinAt     catalog.Instant
+	sweepAt    catalog.Instant
+	seeded     bool
+	replacing  *replacement
+
+	// leaseHeld tells whether an entry may still hold a lease. Tests put a
+	// broken one here to show that the proofs see it.
+	leaseHeld func(until, now catalog.Instant) bool
+}
+
+// proposal is what waits for a record to be applied.
+type proposal struct {
+	ballot quorum.Ballot
+	// number is the operator's command, zero if none waits.
+	number uint64
+}
+
+// NewControl returns the reducer of a control VM that starts at now.
+func NewControl(o ControlOptions, now catalog.Instant) (*Control, error) {
+	state, err := registry.Restore(o.Saved.Snapshot.Data)
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{options: o, state: state, applied: o.Saved.Snapshot.Index, now: now}
+	c.quorum = quorum.New(quorum.Settings{
+		Heartbeat:     o.Timings.Heartbeat,
+		Election:      o.Timings.Election,
+		SnapshotAfter: o.SnapshotAfter,
+		Seed:          o.Seed,
+	}, now, o.Saved)
+	c.leaseHeld = func(until, now catalog.Instant) bool { return now < until }
+	c.resetOffice()
+	return c, nil
+}
+
+func (c *Control) resetOffice() {
+	c.leading = false
+	c.entries = map[catalog.VMID]*entryView{}
+	c.upstreams = map[catalog.InstanceID]*upstreamView{}
+	c.failovers = map[catalog.ServiceID]*failover{}
+	c.proposals = map[quorum.Index]proposal{}
+	c.evidence = map[catalog.InstanceID]map[catalog.VMID]observation{}
+	c.suspects = map[catalog.ServiceID]catalog.Instant{}
+	c.watchAllAt = 0
+	c.replacing = nil
+	if c.joins == nil {
+		c.joins = map[catalog.VMID]catalog.Incarnation{}
+	}
+}
+
+// Step takes one event and returns what is to be done, in order.
+func (c *Control) Step(e Event) []Effect {
+	if e.Now.After(c.now) {
+		c.now = e.Now
+	}
+	c.effects = nil
+	c.take(e.Input)
+	c.tick()
+	return c.effects
+}
+
+func (c *Control) take(in Input) {
+	switch v := in.(type) {
+	case TimerFired:
+		c.drive(c.quorum.Tick(c.now))
+	case PeerReceived:
+		c.receive(v)
+	case Persisted:
+		c.drive(c.quorum.Synced(c.now, v.Token))
+	case Announced:
+		c.heard(v.Announcement)
+	case Surveyed:
+		c.surveyed(v)
+	case Promoted:
+		c.promoted(v)
+	case OperatorAsked:
+		c.operate(v)
+	case DrainAsked:
+		c.emit(Stopped{})
+	}
+}
+
+func (c *Control) receive(p PeerReceived) {
+	m := p.Message
+	switch {
+	case m.Quorum != nil:
+		out, err := c.quorum.Receive(c.now, p.From, m.Quorum.Body)
+		if err != nil {
+			c.emit(Count{Name: "quorum-frames-refused", Delta: 1})
+			c.emit(Log{Level: LevelError, Part: "quorum", Text: "Refused a message.", Pairs: []string{"from", string(p.From), "cause", err.Error()}})
+			return
+		}
+		c.drive(out)
+	case m.Report != nil:
+		c.report(p.From, *m.Report)
+	case m.Fenced != nil:
+		c.fenced(*m.Fenced)
+	case m.Announcement != nil:
+		c.heard(*m.Announcement)
+	case m.Join != nil:
+		c.joins[m.Join.VM] = m.Join.Incarnation
+	}
+}
+
+// tick does what is due, whatever the event was.
+func (c *Control) tick() {
+	if c.quorum.Wake() <= c.now {
+		c.drive(c.quorum.Tick(c.now))
+	}
+	c.watchOffice()
+	if c.leading && c.sweepAt <= c.now {
+		c.sweepAt = c.now.Add(sweepEvery)
+		c.sweep()
+	}
+	c.join()
+	at := c.quorum.Wake()
+	if c.leading && c.sweepAt < at {
+		at = c.sweepAt
+	}
+	if at != c.timer {
+		c.timer = at
+		c.emit(SetTimer{At: at})
+	}
+}
+
+func (c *Control) emit(e Effect) {
+	c.effects = append(c.effects, e)
+}
+
+func (c *Control) log(part, text string, pairs ...string) {
+	c.emit(Log{Part: part, Text: text, Pairs: pairs})
+}
+
+// watchOffice notices that this VM became the leader or is one no more.
+func (c *Control) watchOffice() {
+	leading := c.quorum.Leading()
+	if leading == c.leading {
+		return
+	}
+	pending := c.proposals
+	c.resetOffice()
+	c.leading = leading
+	if !leading {
+		c.log("control", "Leads no more.")
+		c.abandon(pending)
+		return
+	}
+	t := c.options.Timings
+	c.graceEnds = c.quorum.LedSince().Add(t.Lease + t.Drift)
+	c.sweepAt = c.now
+	c.log("control", "Leads now.")
+}
+
+func (c *Control) abandon(pending map[quorum.Index]proposal) {
+	var numbers []uint64
+	for _, p := range pending {
+		if p.number != 0 {
+			numbers = append(numbers, p.number)
+		}
+	}
+	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	for _, n := range numbers {
+		c.emit(OperatorAnswer{Number: n, Reply: Reply{
+			Code: ReplyUnknown, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.Election,
+			Text: "The leader changed before the change was agreed on. Send it again with the same change id.",
+		}})
+	}
+}
+
+// sweep looks after everything that only time brings about.
+func (c *Control) sweep() {
+	c.seed()
+	c.watchSuspects()
+	c.forgetEntries()
+	c.followPrimaries()
+	c.finishReplacement()
+}
+
+// seed proposes the settings' services if nothing was ever accepted.
+func (c *Control) seed() {
+	if c.seeded || c.state.Version != 0 || len(c.options.Services) == 0 {
+		return
+	}
+	c.seeded = true
+	c.propose(registry.Change{
+		ID:      "first-settings",
+		Replace: &registry.ReplaceAll{Services: c.options.Services},
+	}, 0)
+}
+
+// join makes a VM that is no member known to the others.
+func (c *Control) join() {
+	self := c.options.Saved.Self
+	for _, m := range c.quorum.Members() {
+		if m.VM == self.VM && m.Incarnation == self.Incarnation {
+			return
+		}
+	}
+	if c.joinAt > c.now {
+		return
+	}
+	c.joinAt = c.now.Add(joinEvery)
+	for _, vm := range c.options.Members {
+		if vm != self.VM {
+			c.emit(SendPeer{To: vm, Message: wire.Message{Join: &wire.Join{VM: self.VM, Incarnation: self.Incarnation}}})
+		}
+	}
+}
--- /dev/null
+++ b/node/control_report.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// entryView is what the leader knows of one entry.
+type entryView struct {
+	site catalog.SiteID
+	// life and sequence order the reports. Invariant: they never go back.
+	life     uint64
+	sequence uint64
+	// seenAt is when the report with that sequence arrived.
+	seenAt   catalog.Instant
+	settings catalog.Version
+	leaving  bool
+	services []catalog.ServiceID
+	// leases says until when the entry may acknowledge writes of an epoch.
+	leases map[catalog.ServiceID]leaseView
+	// grants holds what was given for each upstream.
+	grants map[catalog.InstanceID][]grantView
+	wants  map[catalog.InstanceID]wire.Want
+}
+
+type leaseView struct {
+	epoch catalog.Epoch
+	until catalog.Instant
+}
+
+// observation is an entry's first-hand knowledge, turned to the own clock.
+type observation struct {
+	evidence wire.Evidence
+	// at is when the evidence was gathered.
+	at catalog.Instant
+	// aliveAt is when the upstream last answered; zero if it never did.
+	aliveAt  catalog.Instant
+	role     catalog.Role
+	position catalog.Position
+}
+
+// upstreamView is what the leader heard of one upstream.
+type upstreamView struct {
+	said    catalog.Announcement
+	heardAt catalog.Instant
+}
+
+func (c *Control) heard(a catalog.Announcement) {
+	if !c.leading {
+		return
+	}
+	u := c.upstreams[a.Instance]
+	if u == nil {
+		c.upstreams[a.Instance] = &upstreamView{said: a, heardAt: c.now}
+		c.suspect(a.Service)
+		return
+	}
+	if !a.Newer(u.said) {
+		return
+	}
+	if u.said.Life == a.Life && u.said.Leaving {
+		a.Leaving = true
+	}
+	if a.Leaving != u.said.Leaving || a.Role != u.said.Role {
+		c.suspect(a.Service)
+	}
+	u.said, u.heardAt = a, c.now
+}
+
+func (c *Control) report(from catalog.VMID, r wire.Report) {
+	site, known := c.options.Entries[from]
+	if !known || r.VM != from {
+		c.emit(Count{Name: "reports-refused", Delta: 1})
+		return
+	}
+	if !c.leading {
+		c.emit(SendPeer{To: from, Message: wire.Message{Answer: &wire.Answer{
+			Leader: c.quorum.Leader(), Refused: true, Sequence: r.Sequence,
+		}}})
+		return
+	}
+	v := c.entry(from, site)
+	if r.Life < v.life || (r.Life == v.life && r.Sequence <= v.sequence) {
+		return
+	}
+	v.life, v.sequence, v.seenAt = r.Life, r.Sequence, c.now
+	v.settings, v.leaving, v.services = r.Settings, r.Leaving, r.Services
+	for _, a := range r.Instances {
+		c.heard(a)
+	}
+	bad := c.observe(from, r.Observations)
+	v.wants = map[catalog.InstanceID]wire.Want{}
+	for _, w := range r.Wants {
+		v.wants[w.Instance] = w
+	}
+	if bad {
+		c.watchSuspects()
+	}
+	c.answer(from, v, true)
+}
+
+func (c *Control) entry(vm catalog.VMID, site catalog.SiteID) *entryView {
+	if v := c.entries[vm]; v != nil {
+		return v
+	}
+	v := &entryView{
+		site:   site,
+		leases: map[catalog.ServiceID]leaseView{},
+		grants: map[catalog.InstanceID][]grantView{},
+	}
+	c.entries[vm] = v
+	return v
+}
+
+// observe notes what an entry saw. It reports whether some of it speaks
+// against an upstream.
+func (c *Control) observe(vm catalog.VMID, list []wire.Observation) bool {
+	bad := false
+	for _, o := range list {
+		seen := observation{evidence: o.Evidence, at: c.now.Add(-o.Age), role: o.Role, position: o.Position}
+		if o.AliveAge >= 0 {
+			seen.aliveAt = c.now.Add(-o.AliveAge)
+		}
+		if c.evidence[o.Instance] == nil {
+			c.evidence[o.Instance] = map[catalog.VMID]observation{}
+		}
+		c.evidence[o.Instance][vm] = seen
+		if o.Evidence == wire.EvidenceRefused || o.Evidence == wire.EvidenceSilent {
+			c.suspect(o.Service)
+			bad = true
+		}
+	}
+	return bad
+}
+
+// answer sends an entry its leases, grants and settings. A pushed answer
+// repeats the sequence of the last report, so that lengths count from there.
+func (c *Control) answer(vm catalog.VMID, v *entryView, renew bool) {
+	a := &wire.Answer{Leader: c.options.VM, Sequence: v.sequence, Version: c.state.Version}
+	if v.settings < c.state.Version {
+		a.Settings, a.Whole = c.state.Services, true
+		a.Drained = c.state.Drained
+	}
+	length := c.leaseLength(v.seenAt)
+	for _, id := range v.services {
+		if _, ok := c.state.Service(id); ok {
+			a.Leases = append(a.Leases, c.lease(v, id, length))
+		}
+	}
+	if renew && length > 0 && !v.leaving {
+		a.Grants = c.grant(vm, v, length)
+	}
+	c.emit(SendPeer{To: vm, Message: wire.Message{Answer: a}})
+}
+
+// leaseLength is how long a lease may run that counts from sentAt. It ends no
+// later than the lease time after the last contact with a quorum, since a new
+// leader counts from its election, which came after that contact.
+func (c *Control) leaseLength(seenAt catalog.Instant) time.Duration {
+	end := c.quorum.QuorumContact().Add(c.options.Timings.Lease)
+	length := min(end.Sub(seenAt), c.options.Timings.Lease)
+	if !end.After(c.now) {
+		return 0
+	}
+	return max(length, 0)
+}
+
+func (c *Control) lease(v *entryView, id catalog.ServiceID, length time.Duration) wire.Lease {
+	p := c.state.Primary(id)
+	if !p.Ready || c.failovers[id] != nil || v.leaving {
+		return wire.Lease{Primary: p}
+	}
+	until := v.seenAt.Add(length)
+	if held := v.leases[id]; held.epoch < p.Epoch || held.until < until {
+		v.leases[id] = leaseView{epoch: p.Epoch, until: until}
+	}
+	return wire.Lease{Primary: p, Length: length}
+}
+
+// pushAll answers all entries anew, because something changed for them.
+func (c *Control) pushAll() {
+	for _, vm := range c.entryNames() {
+		c.answer(vm, c.entries[vm], false)
+	}
+}
+
+// pushService answers anew the entries that serve a service.
+func (c *Control) pushService(id catalog.ServiceID) {
+	for _, vm := range c.entryNames() {
+		v := c.entries[vm]
+		if slices.Contains(v.services, id) {
+			c.answer(vm, v, false)
+		}
+	}
+}
+
+func (c *Control) entryNames() []catalog.VMID {
+	names := make([]catalog.VMID, 0, len(c.entries))
+	for vm := range c.entries {
+		names = append(names, vm)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// forgetEntries drops entries that are long silent and hold nothing.
+func (c *Control) forgetEntries() {
+	for _, vm := range c.entryNames() {
+		if c.entries[vm].seenAt.Add(forgetAfter).Before(c.now) {
+			delete(c.entries, vm)
+			for _, seen := range c.evidence {
+				delete(seen, vm)
+			}
+		}
+	}
+}
+
+const forgetAfter = time.Minute
--- /dev/null
+++ b/registry/apply.go
@@ -0,0 +1,187 @@
+package registry
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// Apply carries out one change of the agreed log. It is deterministic.
+func (s *State) Apply(c Change) Result {
+	switch {
+	case c.Elect != nil:
+		return s.elect(*c.Elect)
+	case c.Ready != nil:
+		return s.ready(*c.Ready)
+	}
+	digest := digestOf(c)
+	if r, ok := s.known[c.ID]; ok && c.ID != "" {
+		if r.Digest == digest {
+			return r
+		}
+		return Result{
+			ID: c.ID, Code: CodeInvalid, Version: s.Version,
+			Text: fmt.Sprintf("change id %s was used for another change; take a new one", c.ID),
+		}
+	}
+	r := s.operate(c)
+	r.ID, r.Digest = c.ID, digest
+	if c.ID != "" {
+		s.remember(r)
+	}
+	return r
+}
+
+func digestOf(c Change) uint64 {
+	data, err := Encode(c)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
+
+func (s *State) operate(c Change) Result {
+	if c.IfVersion != 0 && c.IfVersion != s.Version {
+		return Result{
+			Code: CodeConflict, Version: s.Version, Winner: s.lastChange(),
+			Text: fmt.Sprintf("version %d was asked for, but %d is in force; look at it and apply again", c.IfVersion, s.Version),
+		}
+	}
+	switch {
+	case c.Replace != nil:
+		return s.replace(c.Replace.Services)
+	case c.Create != nil:
+		return s.create(c.Create.Service)
+	case c.Remove != nil:
+		return s.remove(c.Remove.Service)
+	case c.Drain != nil:
+		return s.drain(*c.Drain)
+	}
+	return s.invalid("the change is empty")
+}
+
+func (s *State) lastChange() catalog.ChangeID {
+	for i := len(s.Results) - 1; i >= 0; i-- {
+		if s.Results[i].Code == CodeOK {
+			return s.Results[i].ID
+		}
+	}
+	return ""
+}
+
+func (s *State) invalid(text string) Result {
+	return Result{Code: CodeInvalid, Version: s.Version, Text: text}
+}
+
+func (s *State) accepted(text string) Result {
+	s.Version++
+	return Result{Code: CodeOK, Version: s.Version, Text: text}
+}
+
+func (s *State) replace(services []catalog.Service) Result {
+	sorted := append([]catalog.Service(nil), services...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
+	for i, v := range sorted {
+		if err := Check(v); err != "" {
+			return s.invalid(err)
+		}
+		if i > 0 && sorted[i-1].ID == v.ID {
+			return s.invalid(fmt.Sprintf("service %s is given twice", v.ID))
+		}
+	}
+	s.Services = sorted
+	return s.accepted(fmt.Sprintf("%d services in force", len(sorted)))
+}
+
+func (s *State) create(v catalog.Service) Result {
+	if err := Check(v); err != "" {
+		return s.invalid(err)
+	}
+	if _, ok := s.Service(v.ID); ok {
+		return s.invalid(fmt.Sprintf("service %s exists already", v.ID))
+	}
+	s.Services = append(append([]catalog.Service(nil), s.Services...), v)
+	sort.Slice(s.Services, func(i, j int) bool { return s.Services[i].ID < s.Services[j].ID })
+	return s.accepted(fmt.Sprintf("service %s created", v.ID))
+}
+
+func (s *State) remove(id catalog.ServiceID) Result {
+	if _, ok := s.Service(id); !ok {
+		return Result{Code: CodeNotFound, Version: s.Version, Text: fmt.Sprintf("there is no service %s", id)}
+	}
+	var kept []catalog.Service
+	for _, v := range s.Services {
+		if v.ID != id {
+			kept = append(kept, v)
+		}
+	}
+	s.Services = kept
+	return s.accepted(fmt.Sprintf("service %s removed", id))
+}
+
+func (s *State) drain(d DrainUpstream) Result {
+	i := sort.Search(len(s.Drained), func(i int) bool { return s.Drained[i] >= d.Instance })
+	present := i < len(s.Drained) && s.Drained[i] == d.Instance
+	next := append([]catalog.InstanceID(nil), s.Drained[:i]...)
+	rest := s.Drained[i:]
+	if present {
+		rest = rest[1:]
+	}
+	if !d.Off {
+		next = append(next, d.Instance)
+	}
+	s.Drained = append(next, rest...)
+	if d.Off {
+		return s.accepted(fmt.Sprintf("upstream %s takes work again", d.Instance))
+	}
+	return s.accepted(fmt.Sprintf("upstream %s gets no new work", d.Instance))
+}
+
+func (s *State) elect(e Elect) Result {
+	p := s.Primary(e.Service)
+	if _, ok := s.Service(e.Service); !ok {
+		return Result{Code: CodeNotFound, Version: s.Version}
+	}
+	if e.Epoch != p.Epoch+1 {
+		return Result{Code: CodeConflict, Version: s.Version}
+	}
+	p.Epoch, p.Instance, p.Ready = e.Epoch, e.Instance, false
+	s.setPrimary(p)
+	return Result{Code: CodeOK, Version: s.Version}
+}
+
+func (s *State) ready(r Ready) Result {
+	p := s.Primary(r.Service)
+	if r.Epoch != p.Epoch {
+		return Result{Code: CodeConflict, Version: s.Version}
+	}
+	p.Term, p.Ready = r.Term, true
+	if r.Fork.Term != 0 {
+		p.Forks = p.Forks.With(r.Fork)
+	}
+	s.setPrimary(p)
+	return Result{Code: CodeOK, Version: s.Version}
+}
+
+// Check says what is wrong with a service's configuration, or nothing.
+func Check(v catalog.Service) string {
+	l := v.Limits
+	switch {
+	case v.ID == "":
+		return "a service needs an id"
+	case v.Ack != catalog.AckPrimary && v.Ack != catalog.AckReplicated:
+		return fmt.Sprintf("service %s: ack must be primary or replicated, not %q", v.ID, v.Ack)
+	case v.Instances < 1:
+		return fmt.Sprintf("service %s: instances must be at least 1", v.ID)
+	case l.Slots < 1:
+		return fmt.Sprintf("service %s: slots must be at least 1", v.ID)
+	case l.Reserved < 1 || l.Reserved >= l.Connections:
+		return fmt.Sprintf("service %s: reserved must be at least 1 and below connections", v.ID)
+	case l.LocalShare < 0 || l.LocalShare > l.Connections-l.Reserved:
+		return fmt.Sprintf("service %s: local-share must fit into connections less reserved", v.ID)
+	}
+	return ""
+}
