--- /dev/null
+++ b/journal/head.go
@@ -0,0 +1,66 @@
+package journal
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+)
+
+// The file begins with two pages that each hold a head: bbolt writes them in
+// turn, and falls back to the older one without a word if the other is bad.
+const (
+	headOffset     = 16
+	headSumOffset  = 56
+	headBytes      = headSumOffset + sumBytes
+	headSizeOffset = 8
+	minPage        = 512
+	maxPage        = 1 << 16
+)
+
+// checkHeads refuses a file with a bad head, since the fallback could undo a
+// vote that was promised. A head fits one sector, so a crash does not tear it.
+func checkHeads(path string) error {
+	f, err := os.Open(path)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if info.Size() == 0 {
+		return nil
+	}
+	page, err := checkHead(f, 0)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = checkHead(f, page)
+	return errors.Trace(err)
+}
+
+// checkHead checks the head of the page at an offset and returns the page size.
+func checkHead(f io.ReaderAt, offset int64) (int64, error) {
+	var head [headBytes]byte
+	if _, err := f.ReadAt(head[:], offset+headOffset); err != nil {
+		return 0, errors.Annotatef(ErrDamaged, "head at %d: %v", offset, err)
+	}
+	sum := fnv.New64a()
+	// A hash takes all that it is given.
+	_, _ = sum.Write(head[:headSumOffset])
+	if sum.Sum64() != binary.NativeEndian.Uint64(head[headSumOffset:]) {
+		return 0, errors.Annotatef(ErrDamaged, "head at %d: check does not match", offset)
+	}
+	page := int64(binary.NativeEndian.Uint32(head[headSizeOffset:]))
+	if page < minPage || page > maxPage {
+		return 0, errors.Annotatef(ErrDamaged, "head at %d: page of %d bytes", offset, page)
+	}
+	return page, nil
+}
