listener: refuse settings at the start that can't be carried

A setting in the startup message was ignored when it was not known, so that a caller with a search path of its own read other tables. Also bound what is read of a caller before it is known, and leave the hints out of what makes a repeated request equal, as its token changes.

--- a/listener/extended.go
+++ b/listener/extended.go
@@ -101,7 +101,7 @@
 	if len(b.digest) == 0 {
 		b.text = p.Parse.Query
 	}
-	b.digest = append(b.digest, []byte(p.Parse.Query))
+	b.digest = append(b.digest, []byte(statement.Bare(p.Parse.Query)))
 	b.digest = append(b.digest, m.Parameters...)
 	b.sql.Join(p.SQL)
 }
--- a/listener/session.go
+++ b/listener/session.go
@@ -1,6 +1,8 @@
 package listener
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +29,9 @@
 	Traceparent string
 }
 
+// maxRequestID is the longest request id, in bytes.
+const maxRequestID = 256
+
 // Names of classes.
 var classNames = map[string]node.Class{
 	"booking": node.ClassBooking,
@@ -55,6 +60,9 @@
 		}
 		s.Class = class
 	case "request":
+		if len(value) > maxRequestID {
+			return &fault{Code: codeParameter, Text: "the request id is longer than " + strconv.Itoa(maxRequestID) + " bytes"}
+		}
 		s.Request = value
 	case "traceparent":
 		s.Traceparent = value
@@ -129,14 +137,16 @@
 	return out, nil
 }
 
-// startupSettings lists the settings of a startup message, in the order in
-// which they are to be applied.
+// startupSettings lists the settings of a startup message in the order in
+// which they are to be applied: the session before its token.
 func startupSettings(parameters map[string]string) []statement.Hint {
-	var out []statement.Hint
-	out = append(out, optionSettings(parameters["options"])...)
-	for _, name := range []string{"session", "token", "max-age", "class", "deadline"} {
-		if value, ok := parameters[statement.OwnPrefix+name]; ok {
-			out = append(out, statement.Hint{Name: statement.OwnPrefix + name, Value: value})
+	out := optionSettings(parameters["options"])
+	for _, name := range slices.Sorted(maps.Keys(parameters)) {
+		switch {
+		case name == "user" || name == "database" || name == "options" || strings.HasPrefix(name, "_pq_."):
+		case name == "replication" && parameters[name] == "false":
+		default:
+			out = append(out, statement.Hint{Name: strings.ToLower(name), Value: parameters[name]})
 		}
 	}
 	return out
--- a/listener/startup.go
+++ b/listener/startup.go
@@ -17,6 +17,9 @@
 	startupTimeout = 10 * time.Second
 	// secretSize is the length of the key for cancel requests, in bytes.
 	secretSize = 4
+	// maxPassword bounds a message of a caller that is not known yet, in
+	// bytes.
+	maxPassword = 4 << 10
 	// serverVersion is what callers are told of the upstreams' version.
 	serverVersion = "15.0"
 )
@@ -29,6 +32,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(startupTimeout))
 	c := newCaller(s, conn)
+	c.backend.SetMaxBodyLen(maxPassword)
 	for {
 		m, err := c.backend.ReceiveStartupMessage()
 		if err != nil {
@@ -86,11 +90,6 @@
 	if f := c.authenticate(user); f != nil {
 		return f
 	}
-	for _, name := range []string{"application_name", "client_encoding", "DateStyle", "TimeZone", "extra_float_digits"} {
-		if value, ok := parameters[name]; ok {
-			c.parameters[name] = value
-		}
-	}
 	for _, h := range startupSettings(parameters) {
 		ok, advice := statement.Carried(h.Name, h.Value)
 		if !ok {
--- a/statement/hint.go
+++ b/statement/hint.go
@@ -1,8 +1,6 @@
 package statement
 
-import (
-	"strings"
-)
+import "strings"
 
 // hintPrefix begins a comment with hints for one request.
 const hintPrefix = "kingcupknot:"
@@ -16,16 +14,7 @@
 // Hints reads the hints that stand in a leading comment of the text, such as
 // "/* kingcupknot: session=a, class=booking */".
 func Hints(text string) []Hint {
-	text = strings.TrimLeft(text, " \t\r\n")
-	body, ok := strings.CutPrefix(text, "/*")
-	if !ok {
-		return nil
-	}
-	end := strings.Index(body, "*/")
-	if end < 0 {
-		return nil
-	}
-	body, ok = strings.CutPrefix(strings.TrimSpace(body[:end]), hintPrefix)
+	body, _, ok := cutHints(text)
 	if !ok {
 		return nil
 	}
@@ -39,3 +28,28 @@
 	}
 	return out
 }
+
+// Bare returns the text without the comment that holds hints.
+func Bare(text string) string {
+	if _, rest, ok := cutHints(text); ok {
+		return strings.TrimLeft(rest, space)
+	}
+	return text
+}
+
+// space are the characters that may stand before the comment.
+const space = " \t\r\n"
+
+// cutHints parts the hints from the text behind their comment.
+func cutHints(text string) (body, rest string, ok bool) {
+	inner, ok := strings.CutPrefix(strings.TrimLeft(text, space), "/*")
+	if !ok {
+		return "", text, false
+	}
+	inner, rest, ok = strings.Cut(inner, "*/")
+	if !ok {
+		return "", text, false
+	}
+	body, ok = strings.CutPrefix(strings.TrimSpace(inner), hintPrefix)
+	return body, rest, ok
+}
