listener: bound a running request by its caller's deadline

The reducer bounds what waits, but a request that was sent to an upstream that fell silent would have waited for the network's own limit. Past its deadline, and while no part of its answer comes, the run is given up.

--- a/listener/relay.go
+++ b/listener/relay.go
@@ -25,6 +25,9 @@
 		if err := u.flush(); err != nil {
 			return err
 		}
+		if u.decided && !u.conn.Buffered() {
+			u.extend()
+		}
 		m, err := u.conn.Receive()
 		if err != nil {
 			return err
@@ -253,6 +256,9 @@
 }
 
 func (u *run) flushUpstream() error {
+	if u.decided {
+		u.extend()
+	}
 	_, err := u.conn.Flush()
 	return err
 }
--- a/listener/request.go
+++ b/listener/request.go
@@ -1,6 +1,8 @@
 package listener
 
 import (
+	"time"
+
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/node"
 )
@@ -115,19 +117,33 @@
 	c.server.options.Span("request", r.settings.Traceparent, r.batch.arrived, now)
 }
 
+// patience is how long the caller of a request waits.
+func (c *caller) patience(r *request) time.Duration {
+	if r.settings.Deadline > 0 {
+		return r.settings.Deadline
+	}
+	return c.server.options.DefaultDeadline
+}
+
+// deadline is when the caller stops waiting.
+func (c *caller) deadline(r *request) catalog.Instant {
+	return r.batch.arrived.Add(c.patience(r))
+}
+
+// wallTime turns an instant into the time that the network library wants.
+func (c *caller) wallTime(at catalog.Instant) time.Time {
+	return time.Now().Add(at.Sub(c.server.options.Now()))
+}
+
 // arrival tells the reducer of a request.
 func (c *caller) arrival(r *request) node.RequestArrived {
-	deadline := r.settings.Deadline
-	if deadline == 0 {
-		deadline = c.server.options.DefaultDeadline
-	}
 	e := node.RequestArrived{
 		Request:  r.id,
 		Service:  c.service,
 		Kind:     r.kind,
 		Class:    r.settings.Class,
 		MaxAge:   r.settings.MaxAge,
-		Deadline: r.batch.arrived.Add(deadline),
+		Deadline: c.deadline(r),
 	}
 	if c.held != nil {
 		e.Held = c.held.ID
--- a/listener/run.go
+++ b/listener/run.go
@@ -1,6 +1,8 @@
 package listener
 
 import (
+	"errors"
+	"os"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -56,6 +58,7 @@
 		return
 	}
 	start := c.server.options.Now()
+	u.conn.SetDeadline(c.wallTime(c.deadline(r)))
 	c.begin(u.conn)
 	stop := u.guard()
 	err := u.exchange()
@@ -112,15 +115,26 @@
 	}
 	c.server.options.Feed(u.done)
 	if u.done.Reusable {
+		u.conn.SetDeadline(time.Time{})
 		u.conn.Park()
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The caller's deadline says nothing of the upstream.
+		u.conn.Abandon()
+	}
 	if c.out.failed != nil {
 		err = nil
 	}
 	u.conn.Discard(err)
 }
 
+// extend lets the run go on past the request's deadline as long as parts of
+// its answer keep coming.
+func (u *run) extend() {
+	u.conn.SetDeadline(time.Now().Add(u.caller.patience(u.request)))
+}
+
 // forget drops what the run gathered for the caller.
 func (u *run) forget() {
 	u.request.held = nil
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -203,9 +203,9 @@
 	return r.message, r.err
 }
 
-// SetReadDeadline bounds the reads of the user; zero ends the bound.
-func (c *Conn) SetReadDeadline(at time.Time) {
-	_ = c.net.SetReadDeadline(at)
+// SetDeadline bounds the reads and writes of the user; zero ends the bound.
+func (c *Conn) SetDeadline(at time.Time) {
+	_ = c.net.SetDeadline(at)
 }
 
 // watch reads until there is a user to hand the message to.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -139,7 +139,7 @@
 		p.options.Feed(done)
 		return
 	}
-	c.SetReadDeadline(p.wallTime(e.Deadline))
+	c.SetDeadline(p.wallTime(e.Deadline))
 	done.SentAt = p.options.Now()
 	c.Send(&pgproto3.Query{String: p.options.Statements.Status})
 	_, err := c.Flush()
@@ -154,7 +154,7 @@
 		c.Discard(err)
 		return
 	}
-	c.SetReadDeadline(time.Time{})
+	c.SetDeadline(time.Time{})
 	done.Evidence = wire.EvidenceAlive
 	if refused == nil {
 		done.Role, done.Position = status.Role, status.Position
