--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -119,8 +119,11 @@
 // that does no work is kept for probes when there are two or more.
 func (e *Entry) pick(i *entryInstance) *entryConn {
 	var idle *entryConn
-	spare := 0
+	spare, established := 0, 0
 	for _, c := range i.conns {
+		if c.state != connOpening && c.state != connClosing {
+			established++
+		}
 		if c.state == connIdle || c.state == connProbing {
 			spare++
 		}
@@ -128,7 +131,7 @@
 			idle = c
 		}
 	}
-	if idle == nil || (spare < 2 && len(i.conns) >= 2) {
+	if idle == nil || (spare < 2 && established >= 2) {
 		i.short++
 		return nil
 	}
--- a/node/entry_expect_test.go
+++ b/node/entry_expect_test.go
@@ -53,6 +53,12 @@
 	case "open":
 		got = fmt.Sprint(w.held(catalog.InstanceID(args[1])))
 		args = args[1:]
+	case "probes":
+		id := catalog.InstanceID(args[1])
+		got, args = fmt.Sprint(w.probes[id]), args[1:]
+		w.probes[id] = 0
+	case "verified":
+		got, args = fmt.Sprint(w.verified[request(args[1])]), args[1:]
 	case "version":
 		got = fmt.Sprint(w.entry.version)
 	case "stopped":
--- a/node/entry_fake_test.go
+++ b/node/entry_fake_test.go
@@ -49,6 +49,8 @@
 	trace     []string
 	faults    []string
 	sent      []string
+	probes    map[catalog.InstanceID]int
+	verified  map[catalog.RequestID]int
 	stopped   bool
 }
 
@@ -70,6 +72,7 @@
 		requests: map[catalog.RequestID]RequestArrived{}, began: map[catalog.RequestID]catalog.Epoch{},
 		ran: map[catalog.RequestID]string{}, answers: map[catalog.RequestID]AnswerRequest{},
 		leases: map[catalog.Epoch]catalog.Instant{}, grants: map[catalog.InstanceID][]fakeGrant{}, lease: true,
+		probes: map[catalog.InstanceID]int{}, verified: map[catalog.RequestID]int{},
 	}
 }
 
@@ -159,6 +162,7 @@
 		w.fault("probe on connection %d that is not idle", v.Conn)
 		return
 	}
+	w.probes[c.at.Instance]++
 	w.after(time.Millisecond, func() Input {
 		if w.conns[v.Conn] != c {
 			return nil
@@ -180,6 +184,9 @@
 		c.epoch = w.entry.services[q.Service].primary.Epoch
 	}
 	c.running = v.Request
+	if v.Verify {
+		w.verified[v.Request]++
+	}
 	w.ran[v.Request] = string(c.at.Instance)
 	w.began[v.Request] = c.epoch
 	if c.at.held {
