node: let transactions go on at a leaving upstream

An open transaction outlives the upstream's wish to leave. Positions on answers now spare probes, and plain reads still start at the primary while its lease is drained.

--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -190,6 +190,9 @@
 		return
 	}
 	e.closeIdle(i)
+	if !i.service.accepted {
+		e.closeSome(i, len(i.conns), connIdle)
+	}
 	if !e.takesWork(i) || i.announcement.Address == "" {
 		return
 	}
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -23,7 +23,7 @@
 	}
 	e.report.urgent = true
 	if v == wire.EvidenceRefused && !wasRefused {
-		i.confirm = true
+		i.confirm, i.nextProbe = true, e.now
 	}
 }
 
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -140,8 +140,16 @@
 
 // primaryReady returns the primary if new work may start there.
 func (e *Entry) primaryReady(s *entryService) *entryInstance {
+	if !e.canStart(s) {
+		return nil
+	}
+	return e.primaryTakes(s)
+}
+
+// primaryTakes returns the primary if it takes work as far as is known.
+func (e *Entry) primaryTakes(s *entryService) *entryInstance {
 	i := s.primaryInstance()
-	if i == nil || !e.canStart(s) || !e.usable(i) || i.role == catalog.RoleReplica {
+	if i == nil || !e.usable(i) || i.role == catalog.RoleReplica {
 		return nil
 	}
 	return i
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -151,10 +151,14 @@
 	return true
 }
 
-// startAtPrimary runs a read at the leased primary if it has a free slot.
+// startAtPrimary runs a read at the leased primary if it has a free slot, also
+// while the lease is being drained.
 // Browsing leaves it alone while bookings wait there.
 func (e *Entry) startAtPrimary(s *entryService, r *entryRequest, p *placement) bool {
 	i := e.primaryReady(s)
+	if i == nil && r.Kind == KindRead && e.leaseCan(s, s.primary.Epoch, e.now) {
+		i = e.primaryTakes(s)
+	}
 	if i == nil || i == r.avoid && len(s.instances) > 1 && r.tries > 1 {
 		return false
 	}
--- /dev/null
+++ b/node/entry_report_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// reportsOf returns the reports and their receivers among effects.
+func reportsOf(xs []Effect) (to []catalog.VMID, last *wire.Report) {
+	for _, x := range xs {
+		if p, ok := x.(SendPeer); ok && p.Message.Report != nil {
+			to, last = append(to, p.To), p.Message.Report
+		}
+	}
+	return to, last
+}
+
+func answerFrom(vm catalog.VMID, a wire.Answer) Input {
+	return PeerReceived{From: vm, Message: wire.Message{Answer: &a}}
+}
+
+func leaseOf(epoch catalog.Epoch) []wire.Lease {
+	return []wire.Lease{{
+		Primary: catalog.Primary{Service: "orders", Epoch: epoch, Instance: "a", Ready: true},
+		Length:  600 * time.Millisecond,
+	}}
+}
+
+func TestEntryReports(t *testing.T) {
+	o := testOptions()
+	o.Control = []catalog.VMID{"c2", "c1", "c3"}
+	at := func(ms int) catalog.Instant { return catalog.Instant(time.Duration(ms) * time.Millisecond) }
+	Convey("an entry asks all control VMs until one says who leads", t, func() {
+		e := NewEntry(o)
+		to, first := reportsOf(e.Step(Event{Now: at(1), Input: TimerFired{}}))
+		So(to, ShouldResemble, []catalog.VMID{"c1", "c2", "c3"})
+		refusal := wire.Answer{Refused: true, Leader: "c2", Sequence: first.Sequence}
+		to, _ = reportsOf(e.Step(Event{Now: at(3), Input: answerFrom("c1", refusal)}))
+		So(to, ShouldBeEmpty)
+		to, second := reportsOf(e.Step(Event{Now: at(6), Input: TimerFired{}}))
+		So(to, ShouldResemble, []catalog.VMID{"c2"})
+
+		Convey("a lease counts from its report, and late answers are dropped", func() {
+			s := e.services["orders"]
+			e.Step(Event{Now: at(50), Input: answerFrom("c2", wire.Answer{Sequence: second.Sequence + 1, Leases: leaseOf(3)})})
+			So(s.primary.Epoch, ShouldEqual, 0)
+			e.Step(Event{Now: at(60), Input: answerFrom("c2", wire.Answer{Sequence: second.Sequence, Leases: leaseOf(3)})})
+			So(s.leaseUntil, ShouldEqual, at(6+580))
+			e.Step(Event{Now: at(61), Input: answerFrom("c2", wire.Answer{Sequence: first.Sequence, Leases: leaseOf(4)})})
+			So(s.primary.Epoch, ShouldEqual, 3)
+		})
+		Convey("a lease of a lower epoch than one known or revoked is ignored", func() {
+			s := e.services["orders"]
+			e.Step(Event{Now: at(7), Input: PeerReceived{From: "c2", Message: wire.Message{
+				Revoke: &wire.Revoke{Service: "orders", Epoch: 5},
+			}}})
+			e.Step(Event{Now: at(8), Input: answerFrom("c2", wire.Answer{Sequence: second.Sequence, Leases: leaseOf(5)})})
+			So(leaseValid(s, 5, at(9)), ShouldBeFalse)
+			_, third := reportsOf(e.Step(Event{Now: at(106), Input: TimerFired{}}))
+			e.Step(Event{Now: at(108), Input: answerFrom("c2", wire.Answer{Sequence: third.Sequence, Leases: leaseOf(6)})})
+			So(leaseValid(s, 6, at(109)), ShouldBeTrue)
+			_, fourth := reportsOf(e.Step(Event{Now: at(206), Input: TimerFired{}}))
+			e.Step(Event{Now: at(208), Input: answerFrom("c2", wire.Answer{Sequence: fourth.Sequence, Leases: leaseOf(5)})})
+			So(s.primary.Epoch, ShouldEqual, 6)
+		})
+	})
+}
+
+func TestEntryAnnouncements(t *testing.T) {
+	relayed := func(xs []Effect) (n int) {
+		for _, x := range xs {
+			if p, ok := x.(SendPeer); ok && p.Message.Announcement != nil {
+				n++
+			}
+		}
+		return n
+	}
+	Convey("an announcement heard directly is relayed once, a relayed one never", t, func() {
+		e := NewEntry(testOptions())
+		a := catalog.Announcement{Service: "orders", Instance: "a", Site: "x", Life: 1, Sequence: 1}
+		So(relayed(e.Step(Event{Now: 1, Input: Announced{Announcement: a}})), ShouldEqual, 1)
+		So(relayed(e.Step(Event{Now: 2, Input: Announced{Announcement: a}})), ShouldEqual, 0)
+		a.Sequence++
+		So(relayed(e.Step(Event{Now: 3, Input: Announced{Announcement: a}})), ShouldEqual, 0)
+		a.Sequence++
+		a.Leaving = true
+		So(relayed(e.Step(Event{Now: 4, Input: Announced{Announcement: a}})), ShouldEqual, 1)
+		b := a
+		b.Instance = "b"
+		peer := PeerReceived{From: "entry-2", Message: wire.Message{Announcement: &b}}
+		So(relayed(e.Step(Event{Now: 5, Input: peer})), ShouldEqual, 0)
+	})
+	Convey("observers are a fixed share of a site's entries", t, func() {
+		n := 0
+		for _, vm := range []catalog.VMID{"e1", "e2", "e3", "e4"} {
+			o := EntryOptions{VM: vm, Neighbours: []catalog.VMID{"e1", "e2", "e3", "e4"}, Observers: 2}
+			if NewEntry(o).observes("orders") {
+				n++
+			}
+		}
+		So(n, ShouldEqual, 2)
+	})
+}
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -152,6 +152,8 @@
 		role = catalog.RolePrimary
 	}
 	e.learn(i, role, v.Position, v.AskedAt)
+	probe := e.options.Timings.Probe
+	i.nextProbe = min(e.now.Add(probe), i.probedAt.Add(probesSpared*probe))
 }
 
 // settleConn decides what becomes of the connection a request has left.
@@ -165,7 +167,8 @@
 	}
 	if v.InTransaction {
 		c.state, c.inTransaction = connHeld, true
-		if c.doomed || v.CallerGone {
+		s := c.instance.service
+		if v.CallerGone || (c.atPrimary && (c.epoch < s.primary.Epoch || c.epoch <= s.revoked)) {
 			e.closeConn(c)
 		}
 		return
@@ -210,12 +213,12 @@
 // refuse ends a request that will not run. One that may have run at an
 // upstream already is answered as unknown, since that is the truth.
 func (e *Entry) refuse(r *entryRequest, reason string, after time.Duration) {
+	verdict := VerdictNotRun
 	if r.ran {
-		e.answerUnknown(r, reason)
-		return
+		verdict = VerdictUnknown
 	}
 	e.answer(r, AnswerRequest{
-		Request: r.Request, Verdict: VerdictNotRun, Reason: reason, RetryAfter: clampRetry(after),
+		Request: r.Request, Verdict: verdict, Reason: reason, RetryAfter: clampRetry(after),
 	})
 }
 
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -8,11 +8,13 @@
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
-// Lengths of time and bounds of the entry's decisions.
+// Lengths of time and bounds of the entry's decisions. Positions that ride on
+// answers spare up to probesSpared probes in a row.
 const (
 	timerFloor      = time.Millisecond
 	urgentReport    = 5 * time.Millisecond
 	relayInterval   = time.Second
+	probesSpared    = 5
 	idleBound       = 10 * time.Second
 	usedBound       = time.Minute
 	demandWindow    = 500 * time.Millisecond
