--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/link"
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/settings"
+	"github.com/kingcupknot/kingcupknot/telemetry"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// Options set up a daemon.
+type Options struct {
+	Settings *settings.Settings
+	VM       settings.VM
+	// Data is the data folder of a control VM.
+	Data string
+	// Bootstrap lets an empty data folder count as a first member. It is for
+	// the first start of a system and no other.
+	Bootstrap bool
+}
+
+// shared is what both roles need.
+type shared struct {
+	options Options
+	clock   Clock
+	loop    *Loop
+	hub     *link.Hub
+	log     logr.Logger
+	metrics *telemetry.Metrics
+	tracing *telemetry.Tracing
+	servers []*http.Server
+	stopped chan error
+}
+
+// headerTime bounds how long a peer may take for its request's header.
+const headerTime = 2 * time.Second
+
+// Run runs the VM's role until it is stopped. Drain is closed to begin a
+// planned stop; a cancelled context ends it at once.
+func Run(ctx context.Context, o Options, drain <-chan struct{}) error {
+	s := &shared{
+		options: o,
+		clock:   NewClock(),
+		log:     telemetry.NewLogger(string(o.Settings.Log.Level)).WithValues("vm", string(o.VM.Name)),
+		stopped: make(chan error, 1),
+	}
+	s.metrics = telemetry.NewMetrics(nil)
+	tracing, err := telemetry.Tracer(o.Settings.Trace.File, string(o.VM.Name))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.tracing = tracing
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.close()
+	if o.VM.Role == settings.RoleControl {
+		return errors.Trace(s.runControl(ctx, drain))
+	}
+	return errors.Trace(s.runEntry(ctx, drain))
+}
+
+func (s *shared) close() {
+	for _, h := range s.servers {
+		_ = h.Close()
+	}
+	if s.hub != nil {
+		s.hub.Close()
+	}
+	_ = s.metrics.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = s.tracing.Close(ctx)
+}
+
+// fail ends the daemon with an error, or without one after a planned stop.
+func (s *shared) fail(err error) {
+	select {
+	case s.stopped <- err:
+	default:
+	}
+}
+
+func (s *shared) listen(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotatef(err, "listen at %s", address)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
+	s.servers = append(s.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.fail(err)
+		}
+	}()
+	return nil
+}
+
+// connect serves the peer and admin addresses.
+func (s *shared) connect(a *admin) error {
+	peers := map[catalog.VMID]string{}
+	for _, v := range s.options.Settings.VMs {
+		peers[v.Name] = v.PeerAddress
+	}
+	s.hub = link.NewHub(link.Options{
+		VM: s.options.VM.Name, Key: s.options.Settings.Security.SharedKey, Peers: peers,
+		Receive: func(from catalog.VMID, m wire.Message) {
+			s.loop.Feed(node.PeerReceived{From: from, Message: m})
+		},
+		Refused: func(err error) {
+			s.metrics.Count("frames-refused", 1)
+			telemetry.Write(s.log, true, "link", "Refused a peer.", []string{"cause", err.Error()})
+		},
+	})
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, s.hub)
+	if err := s.listen(s.options.VM.PeerAddress, mux); err != nil {
+		return err
+	}
+	return s.listen(s.options.VM.AdminAddress, a.handler())
+}
+
+// wait returns when the daemon is stopped. A drain asks the reducer to stop
+// and gives it the time of the settings.
+func (s *shared) wait(ctx context.Context, drain <-chan struct{}, begin func()) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-s.stopped:
+		return err
+	case <-drain:
+	}
+	telemetry.Write(s.log, false, "daemon", "Stops, and lets work in progress end.", nil)
+	begin()
+	s.loop.Feed(node.DrainAsked{})
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-s.stopped:
+		return err
+	case <-time.After(s.options.Settings.Timings.Drain + time.Second):
+		return errors.New("the stop took longer than settings allow")
+	}
+}
+
+// runCommon carries out the effects that both roles have.
+func (s *shared) runCommon(e node.Effect) {
+	switch v := e.(type) {
+	case node.SendPeer:
+		s.hub.Send(v.To, v.Message)
+	case node.Log:
+		telemetry.Write(s.log, v.Level == node.LevelError, v.Part, v.Text, v.Pairs)
+	case node.Count:
+		s.metrics.Count(v.Name, v.Delta)
+	case node.Span:
+		s.metrics.Observe(v.Name, v.End.Sub(v.Start))
+		s.tracing.Record(context.Background(), v.Name, s.clock.Time(v.Start), s.clock.Time(v.End), "service", string(v.Service))
+	case node.Stopped:
+		s.fail(nil)
+	}
+}
+
+// vmsOf lists the names of the VMs of a role, but for the own one.
+func (s *shared) vmsOf(role settings.VMRole) []catalog.VMID {
+	var out []catalog.VMID
+	for _, v := range s.options.Settings.VMs {
+		if v.Role == role && v.Name != s.options.VM.Name {
+			out = append(out, v.Name)
+		}
+	}
+	return out
+}
+
+func (s *shared) newForwarder() *forwarder {
+	f := &forwarder{control: map[catalog.VMID]string{}}
+	for _, v := range s.options.Settings.VMs {
+		if v.Role == settings.RoleControl {
+			f.control[v.Name] = v.AdminAddress
+			f.names = append(f.names, v.Name)
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/daemon/loop.go
@@ -0,0 +1,81 @@
+// Package daemon runs one reducer of package node in a process: it feeds it
+// what happens and carries out its effects.
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+// inputQueue is how many inputs wait for the reducer before feeders block.
+const inputQueue = 8192
+
+// Clock turns the process's monotonic clock into instants.
+type Clock struct {
+	start time.Time
+}
+
+// NewClock returns a clock that starts at one second, so that the zero instant
+// is always in the past.
+func NewClock() Clock {
+	return Clock{start: time.Now().Add(-time.Second)}
+}
+
+// Now is the present instant.
+func (c Clock) Now() catalog.Instant {
+	return catalog.Instant(time.Since(c.start))
+}
+
+// Time turns an instant into a time of day, for traces.
+func (c Clock) Time(i catalog.Instant) time.Time {
+	return c.start.Add(time.Duration(i))
+}
+
+// Loop owns a reducer. Only its goroutine calls step and run.
+type Loop struct {
+	clock  Clock
+	inputs chan node.Input
+	step   func(node.Event) []node.Effect
+	run    func(node.Effect)
+	timer  *time.Timer
+}
+
+// NewLoop returns a loop around a reducer's Step. What run does must not block
+// and must not feed the loop from the same goroutine.
+func NewLoop(clock Clock, step func(node.Event) []node.Effect) *Loop {
+	return &Loop{clock: clock, inputs: make(chan node.Input, inputQueue), step: step, timer: time.NewTimer(0)}
+}
+
+// Feed hands an input to the reducer. It may be called from any goroutine but
+// the loop's own.
+func (l *Loop) Feed(in node.Input) {
+	l.inputs <- in
+}
+
+// Run steps the reducer until the context ends.
+func (l *Loop) Run(ctx context.Context, run func(node.Effect)) {
+	l.run = run
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-l.inputs:
+			l.do(in)
+		case <-l.timer.C:
+			l.do(node.TimerFired{})
+		}
+	}
+}
+
+func (l *Loop) do(in node.Input) {
+	for _, e := range l.step(node.Event{Now: l.clock.Now(), Input: in}) {
+		if t, ok := e.(node.SetTimer); ok {
+			l.timer.Reset(max(t.At.Sub(l.clock.Now()), 0))
+			continue
+		}
+		l.run(e)
+	}
+}
--- a/upstream/survey.go
+++ b/upstream/survey.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -16,8 +17,9 @@
 // controlName is how control's connections show up at upstreams.
 const controlName = "kingcupknot-control"
 
-// Placeholders in Statements.Follow.
+// Placeholders in Statements.
 const (
+	termPlaceholder = "%TERM%"
 	hostPlaceholder = "%HOST%"
 	portPlaceholder = "%PORT%"
 )
@@ -57,14 +59,15 @@
 
 // Promote makes an upstream the primary of its group. It reports whether the
 // upstream is a primary now, and where its log is. Promoting a primary does
-// nothing.
+// nothing. After is the newest term known of the group.
 func (s *Surveyor) Promote(
-	ctx context.Context, service catalog.ServiceID, address string,
+	ctx context.Context, service catalog.ServiceID, address string, after catalog.Term,
 ) (catalog.Position, bool) {
 	t := target{service, address}
+	text := strings.ReplaceAll(s.options.Statements.Promote, termPlaceholder, strconv.FormatUint(uint64(after), 10))
 	// What counts is the role afterwards: an answer that was lost, or an
 	// upstream that is a primary already, looks like an error here.
-	_, promoted := s.execute(ctx, t, s.options.Statements.Promote)
+	_, promoted := s.execute(ctx, t, text)
 	status, err := s.status(ctx, t)
 	if err == nil && status.Role == catalog.RolePrimary {
 		return status.Position, true
