node: choose the next primary by what it has received

A replica shows less than it has: a promotion brings the rest into force. Also: settings travel as what was changed since the entry's version.

--- a/node/control_failover.go
+++ b/node/control_failover.go
@@ -262,7 +262,7 @@
 	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	best := catalog.InstanceID("")
 	for _, id := range ids {
-		if best == "" || f.answers[best].Position.Less(f.answers[id].Position) {
+		if best == "" || f.answers[best].Held().Less(f.answers[id].Held()) {
 			best = id
 		}
 	}
@@ -285,7 +285,7 @@
 		if id == old || u == nil || !c.usable(u) || (f.target != "" && id != f.target) {
 			continue
 		}
-		if a := f.answers[id]; a.Position.Term == from.Position.Term && a.Position.Offset >= from.Position.Offset {
+		if a := f.answers[id].Held(); a.Term == from.Position.Term && a.Offset >= from.Position.Offset {
 			return id
 		}
 	}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -141,10 +141,7 @@
 // repeats the sequence of the last report, so that lengths count from there.
 func (c *Control) answer(vm catalog.VMID, v *entryView, renew bool) {
 	a := &wire.Answer{Leader: c.options.VM, Sequence: v.sequence, Version: c.state.Version}
-	if v.settings < c.state.Version {
-		a.Settings, a.Whole = c.state.Services, true
-		a.Drained = c.state.Drained
-	}
+	c.addSettings(a, v.settings)
 	length := c.leaseLength(v.seenAt)
 	for _, id := range v.services {
 		if _, ok := c.state.Service(id); ok {
@@ -157,6 +154,18 @@
 	c.emit(SendPeer{To: vm, Message: wire.Message{Answer: a}})
 }
 
+// addSettings adds what was changed since the entry's version.
+func (c *Control) addSettings(a *wire.Answer, have catalog.Version) {
+	if have >= c.state.Version {
+		return
+	}
+	a.Settings, a.Removed = c.state.Since(have)
+	a.Whole = have == 0
+	if c.state.DrainedAt > have {
+		a.Drained, a.HasDrained = c.state.Drained, true
+	}
+}
+
 // leaseLength is how long a lease may run that counts from sentAt. It ends no
 // later than the lease time after the last contact with a quorum, since a new
 // leader counts from its election, which came after that contact.
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -178,7 +178,7 @@
 		return
 	}
 	for _, u := range c.instancesOf(p.Service) {
-		if u == primary || u.said.Leaving {
+		if u == primary || u.said.Leaving || c.now.Sub(u.heardAt) > c.options.Timings.Suspect {
 			continue
 		}
 		if u.said.Role == catalog.RoleReplica && u.said.Position.Term >= p.Term {
--- a/node/event.go
+++ b/node/event.go
@@ -162,6 +162,9 @@
 	Evidence wire.Evidence
 	Role     catalog.Role
 	Position catalog.Position
+	// Received is how far the upstream holds its group's log; a replica may
+	// not show all of that yet.
+	Received catalog.Offset
 }
 
 // Persisted follows Persist.
@@ -176,6 +179,13 @@
 	Evidence wire.Evidence
 	Role     catalog.Role
 	Position catalog.Position
+	// Received is as that of ProbeDone.
+	Received catalog.Offset
+}
+
+// Held is the position that the upstream would show after a promotion.
+func (s Surveyed) Held() catalog.Position {
+	return catalog.Position{Term: s.Position.Term, Offset: max(s.Position.Offset, s.Received)}
 }
 
 // Promoted follows Promote.
--- a/node/system_world_test.go
+++ b/node/system_world_test.go
@@ -56,7 +56,7 @@
 		limits catalog.Limits
 		// timings are those of all VMs.
 		timings catalog.Timings
-		answer func(*process, node.AnswerRequest)
+		answer  func(*process, node.AnswerRequest)
 		// caused counts the faults that were caused, by kind.
 		caused map[string]int
 		broken []string
--- a/registry/apply.go
+++ b/registry/apply.go
@@ -92,10 +92,27 @@
 			return s.invalid(fmt.Sprintf("service %s is given twice", v.ID))
 		}
 	}
+	s.touchDifferences(sorted)
 	s.Services = sorted
 	return s.accepted(fmt.Sprintf("%d services in force", len(sorted)))
 }
 
+// touchDifferences notes the services that a new list adds, changes or drops.
+func (s *State) touchDifferences(next []catalog.Service) {
+	kept := map[catalog.ServiceID]bool{}
+	for _, v := range next {
+		kept[v.ID] = true
+		if old, ok := s.Service(v.ID); !ok || old != v {
+			s.touch(v.ID)
+		}
+	}
+	for _, v := range s.Services {
+		if !kept[v.ID] {
+			s.touch(v.ID)
+		}
+	}
+}
+
 func (s *State) create(v catalog.Service) Result {
 	if err := Check(v); err != "" {
 		return s.invalid(err)
@@ -103,6 +120,7 @@
 	if _, ok := s.Service(v.ID); ok {
 		return s.invalid(fmt.Sprintf("service %s exists already", v.ID))
 	}
+	s.touch(v.ID)
 	s.Services = append(append([]catalog.Service(nil), s.Services...), v)
 	sort.Slice(s.Services, func(i, j int) bool { return s.Services[i].ID < s.Services[j].ID })
 	return s.accepted(fmt.Sprintf("service %s created", v.ID))
@@ -118,6 +136,7 @@
 			kept = append(kept, v)
 		}
 	}
+	s.touch(id)
 	s.Services = kept
 	return s.accepted(fmt.Sprintf("service %s removed", id))
 }
@@ -134,6 +153,7 @@
 		next = append(next, d.Instance)
 	}
 	s.Drained = append(next, rest...)
+	s.DrainedAt = s.Version + 1
 	if d.Off {
 		return s.accepted(fmt.Sprintf("upstream %s takes work again", d.Instance))
 	}
--- /dev/null
+++ b/registry/apply_test.go
@@ -0,0 +1,61 @@
+package registry
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+func service(id catalog.ServiceID, slots int) catalog.Service {
+	return catalog.Service{
+		ID: id, Ack: catalog.AckPrimary, Instances: 3,
+		Limits: catalog.Limits{Connections: 20, Reserved: 2, Slots: slots},
+	}
+}
+
+func TestSinceListsWhatChanged(t *testing.T) {
+	Convey("a version sees only what came after it, also after a snapshot", t, func() {
+		s := New()
+		s.Apply(Change{ID: "1", Replace: &ReplaceAll{Services: []catalog.Service{service("a", 1), service("b", 1), service("c", 1)}}})
+		s.Apply(Change{ID: "2", Replace: &ReplaceAll{Services: []catalog.Service{service("a", 1), service("b", 2)}}})
+		s.Apply(Change{ID: "3", Create: &CreateService{Service: service("d", 1)}})
+		s.Apply(Change{ID: "4", Drain: &DrainUpstream{Instance: "a-1"}})
+		data, err := s.Snapshot()
+		So(err, ShouldBeNil)
+		s, err = Restore(data)
+		So(err, ShouldBeNil)
+		changed, removed := s.Since(1)
+		So(changed, ShouldResemble, []catalog.Service{service("b", 2), service("d", 1)})
+		So(removed, ShouldResemble, []catalog.ServiceID{"c"})
+		changed, removed = s.Since(2)
+		So(changed, ShouldResemble, []catalog.Service{service("d", 1)})
+		So(removed, ShouldBeEmpty)
+		So(s.IsDrained("a-1"), ShouldBeTrue)
+		So(s.DrainedAt, ShouldEqual, catalog.Version(4))
+		So(s.Apply(Change{ID: "3", Create: &CreateService{Service: service("d", 1)}}).Version, ShouldEqual, catalog.Version(3))
+	})
+}
+
+func FuzzRestore(f *testing.F) {
+	s := New()
+	s.Apply(Change{ID: "1", Create: &CreateService{Service: service("a", 1)}})
+	data, err := s.Snapshot()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add(data[:len(data)-1])
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Restore(data)
+		if err != nil {
+			return
+		}
+		s.Apply(Change{ID: "x", Create: &CreateService{Service: service("x", 1)}})
+		if _, err := s.Snapshot(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/registry/state.go
+++ b/registry/state.go
@@ -35,6 +35,12 @@
 	Digest uint64 `cbor:"6,keyasint,omitempty"`
 }
 
+// Touch is the last change of one service.
+type Touch struct {
+	ID      catalog.ServiceID `cbor:"1,keyasint"`
+	Version catalog.Version   `cbor:"2,keyasint"`
+}
+
 // State is the agreed state.
 type State struct {
 	// Version numbers the accepted configurations. Invariant: it only grows.
@@ -48,6 +54,12 @@
 	// Results are those of the last KeptChanges operator changes, oldest
 	// first.
 	Results []Result `cbor:"5,keyasint"`
+	// Touched says in which version a service or the drained upstreams of one
+	// were last changed, sorted by id. A service that is in it but not in
+	// Services was removed.
+	Touched []Touch `cbor:"6,keyasint"`
+	// DrainedAt is the version that last changed Drained.
+	DrainedAt catalog.Version `cbor:"7,keyasint"`
 	// known finds a result by change id; it is derived from Results.
 	known map[catalog.ChangeID]Result
 }
@@ -119,6 +131,35 @@
 	return i < len(s.Drained) && s.Drained[i] == id
 }
 
+// Since lists the services that were changed after a version, and those that
+// were removed after it.
+func (s *State) Since(v catalog.Version) (changed []catalog.Service, removed []catalog.ServiceID) {
+	for _, t := range s.Touched {
+		if t.Version <= v {
+			continue
+		}
+		if c, ok := s.Service(t.ID); ok {
+			changed = append(changed, c)
+		} else {
+			removed = append(removed, t.ID)
+		}
+	}
+	return changed, removed
+}
+
+// touch notes that a service is changed by the version in the making.
+func (s *State) touch(id catalog.ServiceID) {
+	version := s.Version + 1
+	i := sort.Search(len(s.Touched), func(i int) bool { return s.Touched[i].ID >= id })
+	if i < len(s.Touched) && s.Touched[i].ID == id {
+		s.Touched[i].Version = version
+		return
+	}
+	s.Touched = append(s.Touched, Touch{})
+	copy(s.Touched[i+1:], s.Touched[i:])
+	s.Touched[i] = Touch{ID: id, Version: version}
+}
+
 func (s *State) remember(r Result) {
 	s.known[r.ID] = r
 	s.Results = append(s.Results, r)
--- a/wire/message.go
+++ b/wire/message.go
@@ -112,15 +112,19 @@
 	Sequence uint64       `cbor:"3,keyasint"`
 	Leases   []Lease      `cbor:"4,keyasint,omitempty"`
 	Grants   []Grant      `cbor:"5,keyasint,omitempty"`
-	// Settings are the services as accepted at Version, sent only when the
-	// entry's version is older.
+	// Settings are the services that were changed between the entry's version
+	// and Version.
 	Version  catalog.Version   `cbor:"6,keyasint"`
 	Settings []catalog.Service `cbor:"7,keyasint,omitempty"`
-	// Whole says that Settings lists every service.
+	// Whole says that Settings lists every service, for an entry without any.
 	Whole bool `cbor:"8,keyasint,omitempty"`
-	// Drained lists the upstreams that operators keep new work from. It goes
-	// with Settings.
-	Drained []catalog.InstanceID `cbor:"9,keyasint,omitempty"`
+	// Drained lists the upstreams that operators keep new work from, if
+	// HasDrained is set.
+	Drained    []catalog.InstanceID `cbor:"9,keyasint,omitempty"`
+	HasDrained bool                 `cbor:"10,keyasint,omitempty"`
+	// Removed lists the services that were removed between the entry's
+	// version and Version.
+	Removed []catalog.ServiceID `cbor:"11,keyasint,omitempty"`
 }
 
 // Join is sent by a control VM whose incarnation is not yet a member.
