--- a/node/entry.go
+++ b/node/entry.go
@@ -37,6 +37,8 @@
 	options EntryOptions
 	now     catalog.Instant
 	started bool
+	// steps counts the events taken.
+	steps   uint64
 	random  uint64
 	effects []Effect
 
@@ -101,6 +103,7 @@
 func (e *Entry) Step(ev Event) []Effect {
 	e.effects = nil
 	e.now = ev.Now
+	e.steps++
 	if !e.started {
 		e.started = true
 		e.report.answeredAt = ev.Now
--- a/node/entry_fake_test.go
+++ b/node/entry_fake_test.go
@@ -52,6 +52,8 @@
 	probes    map[catalog.InstanceID]int
 	verified  map[catalog.RequestID]int
 	stopped   bool
+	// onRead, if set, is told where a read's answer came from.
+	onRead func(RequestArrived, catalog.Position)
 }
 
 type fakeEvent struct {
@@ -144,18 +146,6 @@
 	}
 }
 
-func (w *fakeWorld) lose(id catalog.ConnID, evidence wire.Evidence) Input {
-	c := w.conns[id]
-	if c == nil {
-		return nil
-	}
-	delete(w.conns, id)
-	if c.running != 0 {
-		w.after(0, func() Input { return w.done(c, id, c.running, RequestDone{Outcome: OutcomeLost}) })
-	}
-	return ConnLost{Conn: id, Evidence: evidence}
-}
-
 func (w *fakeWorld) probe(v Probe) {
 	c, sent := w.conns[v.Conn], w.now
 	if c == nil || !c.opened || c.running != 0 {
@@ -163,13 +153,14 @@
 		return
 	}
 	w.probes[c.at.Instance]++
+	role, at := c.at.Role, c.at.Position
 	w.after(time.Millisecond, func() Input {
 		if w.conns[v.Conn] != c {
 			return nil
 		}
 		return ProbeDone{
 			Conn: v.Conn, SentAt: sent, Evidence: wire.EvidenceAlive,
-			Role: c.at.Role, Position: c.at.Position,
+			Role: role, Position: at,
 		}
 	})
 }
@@ -200,17 +191,9 @@
 		d := RequestDone{Reusable: true, Position: c.at.Position, AskedAt: asked}
 		if v.Verify && !v.Forks.Covers(c.at.Position, v.Floor) {
 			d.Outcome = OutcomeBehind
+		} else if q.Kind == KindRead && w.onRead != nil {
+			w.onRead(q, c.at.Position)
 		}
 		return w.done(c, v.Conn, v.Request, d)
 	})
 }
-
-func (w *fakeWorld) done(c *fakeConn, id catalog.ConnID, r catalog.RequestID, d RequestDone) Input {
-	c.running = 0
-	d.Request, d.Conn = r, id
-	q := w.requests[r]
-	if d.Outcome == OutcomeCompleted && (q.Kind == KindBegin || q.Kind == KindBeginRead) {
-		d.InTransaction, d.Reusable = true, false
-	}
-	return d
-}
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -57,7 +57,7 @@
 		return
 	}
 	idle.state = connProbing
-	i.probeConn, i.probedAt = idle.id, e.now
+	i.probeConn, i.probedAt, i.probeStep = idle.id, e.now, e.steps
 	i.nextProbe = e.now.Add(e.options.Timings.Probe)
 	e.emit(Probe{Conn: idle.id, Deadline: e.now.Add(e.options.Timings.ProbeTimeout)})
 }
@@ -111,14 +111,30 @@
 		return
 	}
 	e.seeAlive(i)
-	e.learn(i, v.Role, v.Position, v.SentAt)
+	e.learn(i, v.Role, v.Position, asked{sentAt: v.SentAt, step: i.probeStep})
 	if c.state == connProbing {
 		e.free(c)
 	}
 }
 
+// asked says when a question for a position left. Step is the step that sent
+// it, zero if that is not known; it orders what happened at one instant.
+type asked struct {
+	sentAt catalog.Instant
+	step   uint64
+}
+
+// follows reports whether the question left after the request arrived.
+func (a asked) follows(r *entryRequest) bool {
+	if a.sentAt == r.arrived {
+		return a.step >= r.step
+	}
+	return a.sentAt.After(r.arrived)
+}
+
 // learn takes an upstream's first-hand word of its role and position.
-func (e *Entry) learn(i *entryInstance, role catalog.Role, at catalog.Position, sentAt catalog.Instant) {
+func (e *Entry) learn(i *entryInstance, role catalog.Role, at catalog.Position, a asked) {
+	sentAt := a.sentAt
 	if sentAt.Before(i.knownAt) {
 		return
 	}
@@ -130,7 +146,7 @@
 	if s.primary.Instance == i.id {
 		if e.leaseCan(s, s.primary.Epoch, e.now) && i.role == catalog.RolePrimary && at.Term >= s.primary.Term {
 			e.pushRing(s, ringEntry{sentAt: sentAt, position: at})
-			e.floorsFrom(s, sentAt, at)
+			e.floorsFrom(s, a, at)
 		}
 		return
 	}
@@ -177,10 +193,10 @@
 
 // floorsFrom answers the reads that waited for the primary's position and
 // arrived before the question was sent.
-func (e *Entry) floorsFrom(s *entryService, sentAt catalog.Instant, at catalog.Position) {
+func (e *Entry) floorsFrom(s *entryService, a asked, at catalog.Position) {
 	for _, q := range s.waiting {
 		for _, r := range q {
-			if r.FloorUnknown && !r.floorKnown && !sentAt.Before(r.arrived) {
+			if r.FloorUnknown && !r.floorKnown && a.follows(r) {
 				r.floorKnown = true
 				if r.Floor.Less(at) {
 					r.Floor = at
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -11,7 +11,7 @@
 		return
 	}
 	s := e.services[v.Service]
-	r := &entryRequest{RequestArrived: v, service: s, arrived: e.now, queued: e.now}
+	r := &entryRequest{RequestArrived: v, service: s, arrived: e.now, step: e.steps, queued: e.now}
 	r.Class = min(v.Class, ClassBrowse)
 	r.floorKnown = !v.FloorUnknown
 	e.requests[r.Request] = r
@@ -151,7 +151,7 @@
 	if r.Kind == KindWrite && v.Outcome == OutcomeCompleted && !i.known {
 		role = catalog.RolePrimary
 	}
-	e.learn(i, role, v.Position, v.AskedAt)
+	e.learn(i, role, v.Position, asked{sentAt: v.AskedAt})
 	probe := e.options.Timings.Probe
 	i.nextProbe = min(e.now.Add(probe), i.probedAt.Add(probesSpared*probe))
 }
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -136,6 +136,7 @@
 	// probeConn carries the probe in flight, zero if none is.
 	probeConn catalog.ConnID
 	probedAt  catalog.Instant
+	probeStep uint64
 	running   int
 	limit     float64
 	lowest    time.Duration
@@ -184,6 +185,7 @@
 	RequestArrived
 	service   *entryService
 	arrived   catalog.Instant
+	step      uint64
 	queued    catalog.Instant
 	startedAt catalog.Instant
 	instance  *entryInstance
--- a/node/entry_world_test.go
+++ b/node/entry_world_test.go
@@ -144,3 +144,25 @@
 	w.requests[q.Request] = q
 	w.step(q)
 }
+
+func (w *fakeWorld) lose(id catalog.ConnID, evidence wire.Evidence) Input {
+	c := w.conns[id]
+	if c == nil {
+		return nil
+	}
+	delete(w.conns, id)
+	if c.running != 0 {
+		w.after(0, func() Input { return w.done(c, id, c.running, RequestDone{Outcome: OutcomeLost}) })
+	}
+	return ConnLost{Conn: id, Evidence: evidence}
+}
+
+func (w *fakeWorld) done(c *fakeConn, id catalog.ConnID, r catalog.RequestID, d RequestDone) Input {
+	c.running = 0
+	d.Request, d.Conn = r, id
+	q := w.requests[r]
+	if d.Outcome == OutcomeCompleted && (q.Kind == KindBegin || q.Kind == KindBeginRead) {
+		d.InTransaction, d.Reusable = true, false
+	}
+	return d
+}
