listener: refuse at Parse, and let a broken transaction be ended

Drivers prepare a statement in a batch of its own, so that what can't be carried must be refused there too, and the end of a transaction whose upstream is lost must be prepared without one. A cancel request that comes while the request is being sent is now carried out once it is.

--- a/listener/caller.go
+++ b/listener/caller.go
@@ -150,11 +150,26 @@
 	c.status = statusFailed
 }
 
-// begin notes that a request runs on a connection.
-func (c *caller) begin(conn *upstream.Conn) {
+// begin notes that a request was sent on a connection. A cancel request that
+// came before is carried out now.
+func (c *caller) begin(r *request, conn *upstream.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running = conn
+	select {
+	case <-r.canceled:
+		go c.cancelRun(r)
+	default:
+	}
+}
+
+// cancelRun cancels the request if it still runs.
+func (c *caller) cancelRun(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == r && c.running != nil && c.running.Cancel() != nil {
+		c.stray = true
+	}
 }
 
 // end waits for cancel requests on their way and reports whether none can
--- a/listener/extended.go
+++ b/listener/extended.go
@@ -106,17 +106,30 @@
 	b.sql.Join(p.SQL)
 }
 
-// parses reports whether the batch prepares statements, and whether the entry
-// answers all of them itself.
-func (b *batch) parses() (some, allLocal bool) {
-	allLocal = true
+// parsed returns the statements that the batch prepares.
+func (b *batch) parsed() []*prepared {
+	var out []*prepared
 	for _, s := range b.steps {
-		if _, ok := s.message.(*pgproto3.Parse); ok && s.statement != nil {
-			local, _ := s.statement.SQL.Local()
-			some, allLocal = true, allLocal && local
+		if _, ok := s.message.(*pgproto3.Parse); ok {
+			out = append(out, s.statement)
 		}
 	}
-	return some, allLocal
+	return out
+}
+
+// all reports whether the batch prepares or executes something, and whether
+// that holds for all of it.
+func (b *batch) all(holds func(statement.Batch) bool) bool {
+	parsed := b.parsed()
+	for _, p := range parsed {
+		if !holds(p.SQL) {
+			return false
+		}
+	}
+	if len(b.sql.Statements) == 0 {
+		return len(parsed) > 0
+	}
+	return holds(b.sql)
 }
 
 // forgetUnparsed drops the statements that no upstream accepted.
--- a/listener/local.go
+++ b/listener/local.go
@@ -33,8 +33,6 @@
 	if c.held != nil {
 		select {
 		case <-c.held.Lost():
-			c.held = nil
-			c.forgetUnparsed(b)
 			c.answerLost(b)
 			return true
 		default:
@@ -44,8 +42,10 @@
 	if c.status == statusIdle {
 		return false
 	}
-	if b.sql.Ends() {
-		c.status = statusIdle
+	if b.all(statement.Batch.Ends) {
+		if b.sql.Ends() {
+			c.status = statusIdle
+		}
 		c.play(b, func(statement.Statement) (string, *fault) { return "ROLLBACK", nil })
 		return true
 	}
@@ -59,13 +59,21 @@
 
 // answerLost tells the caller that its transaction was lost between batches.
 func (c *caller) answerLost(b *batch) {
-	if b.sql.Ends() && !b.sql.Commits() {
+	ends := b.all(statement.Batch.Ends)
+	if ends && len(b.sql.Statements) == 0 {
+		// To prepare the end of the transaction is not to end it.
+		c.play(b, nil)
+		return
+	}
+	c.held = nil
+	if ends && !b.sql.Commits() {
 		c.status = statusIdle
 		c.play(b, func(statement.Statement) (string, *fault) { return "ROLLBACK", nil })
 		return
 	}
+	c.forgetUnparsed(b)
 	c.status = statusFailed
-	if b.sql.Ends() {
+	if ends {
 		c.status = statusIdle
 	}
 	c.fail(rolledBack())
@@ -101,15 +109,10 @@
 
 // local reports whether the batch holds only settings of the session.
 func (b *batch) local() bool {
-	if local, _ := b.sql.Local(); local {
-		some, all := b.parses()
-		return !some || all
-	}
-	if len(b.sql.Statements) > 0 || b.query != nil {
-		return false
-	}
-	some, all := b.parses()
-	return some && all
+	return b.all(func(s statement.Batch) bool {
+		local, _ := s.Local()
+		return local
+	})
 }
 
 // endNothing answers the end of a transaction outside of any.
--- a/listener/request.go
+++ b/listener/request.go
@@ -84,6 +84,11 @@
 	if s, refused := b.sql.Refused(c.status != statusIdle); refused {
 		return &fault{Code: codeFeature, Text: s.Refusal}
 	}
+	for _, p := range b.parsed() {
+		if s, refused := p.SQL.Refused(c.status != statusIdle); refused {
+			return &fault{Code: codeFeature, Text: s.Refusal}
+		}
+	}
 	if b.duplicate != "" {
 		return &fault{Code: codeDuplicate, Text: "prepared statement \"" + b.duplicate + "\" already exists"}
 	}
--- a/listener/run.go
+++ b/listener/run.go
@@ -59,7 +59,6 @@
 	}
 	start := c.server.options.Now()
 	u.conn.SetDeadline(c.wallTime(c.deadline(r)))
-	c.begin(u.conn)
 	stop := u.guard()
 	err := u.exchange()
 	stop()
@@ -210,6 +209,7 @@
 	u.done.Outcome = node.OutcomeLost
 	if u.conn.Unsent() > inlineWrite {
 		go func() { u.written <- u.flushUpstream() }()
+		u.caller.begin(u.request, u.conn)
 		return nil
 	}
 	n, err := u.conn.Flush()
@@ -217,6 +217,7 @@
 		u.done.Outcome = node.OutcomeNotSent
 	}
 	u.written <- err
+	u.caller.begin(u.request, u.conn)
 	return err
 }
 
--- a/statement/statement_test.go
+++ b/statement/statement_test.go
@@ -86,3 +86,24 @@
 		}
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	text, err := os.ReadFile("testdata/statements.txt")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		_, sql, _ := strings.Cut(line, "|")
+		f.Add(sql)
+	}
+	f.Fuzz(func(t *testing.T, sql string) {
+		b := Parse(sql)
+		if kind := b.Kind(); kindNames[kind] == "" {
+			t.Fatalf("%q: kind %d", sql, kind)
+		}
+		// A comment before it changes nothing.
+		if got, want := describe(Parse("/* a */"+sql)), describe(b); got != want {
+			t.Fatalf("%q: %s with a comment, %s without", sql, got, want)
+		}
+	})
+}
