listener: answer Flush, and clean up after a run that is dropped

Some drivers prepare with Parse, Describe and Flush and wait for the answer; until now they would have waited for ever. A Flush behind work still waits for its Sync. A transaction that was begun at a replica behind the session's floor is rolled back in place of losing the connection.

--- a/listener/answer.go
+++ b/listener/answer.go
@@ -22,6 +22,7 @@
 		return
 	}
 	c.status = r.status
+	c.faulted = c.faulted || r.failed
 	if r.recorded {
 		c.advance(r, a)
 		c.replay(r)
@@ -82,6 +83,7 @@
 	if !r.saw {
 		c.out.drop()
 	}
+	c.faulted = true
 	inside := r.kind == node.KindInside
 	if c.held != nil {
 		c.dropTransaction()
--- a/listener/caller.go
+++ b/listener/caller.go
@@ -51,6 +51,15 @@
 	// statements are the caller's prepared statements by name.
 	statements map[string]*prepared
 
+	// flushing is set while the batch at hand was ended by Flush: no
+	// ReadyForQuery ends its answer.
+	flushing bool
+	// faulted is set once the answer to the batch at hand holds an error.
+	faulted bool
+	// skipping is set after an error in a batch that was ended by Flush: what
+	// comes before the next Sync is dropped.
+	skipping bool
+
 	// mu orders cancel requests against the start and end of runs.
 	mu sync.Mutex
 	// current is the request that waits or runs.
@@ -131,6 +140,7 @@
 
 // fail answers a batch with a fault.
 func (c *caller) fail(f *fault) {
+	c.faulted = true
 	c.out.add(f.message())
 	if c.status == statusOpen && c.held != nil {
 		c.breakTransaction()
@@ -140,6 +150,10 @@
 
 // ready ends the answer to a batch.
 func (c *caller) ready() {
+	if c.flushing {
+		c.skipping = c.faulted
+		return
+	}
 	c.out.add(&pgproto3.ReadyForQuery{TxStatus: c.status})
 }
 
--- a/listener/extended.go
+++ b/listener/extended.go
@@ -55,7 +55,7 @@
 }
 
 // extended makes a batch of the messages before a Sync.
-func (c *caller) extended(messages []pgproto3.FrontendMessage) (*batch, *fault) {
+func (c *caller) extended(messages []pgproto3.FrontendMessage) *batch {
 	b := &batch{arrived: c.server.options.Now()}
 	for _, m := range messages {
 		s := &step{message: m}
@@ -77,7 +77,7 @@
 		}
 		b.steps = append(b.steps, s)
 	}
-	return b, nil
+	return b
 }
 
 // remember keeps a statement under the caller's name for it. A name in use
--- a/listener/read.go
+++ b/listener/read.go
@@ -24,6 +24,8 @@
 	digest [][]byte
 	// duplicate is a name that the batch prepares although it is in use.
 	duplicate string
+	// flush is set if the batch was ended by Flush.
+	flush bool
 	// arrived is when the batch was complete.
 	arrived catalog.Instant
 }
@@ -86,14 +88,24 @@
 		if m == nil {
 			return nil, f
 		}
+		if c.skipping && !endsSkipping(m) {
+			continue
+		}
 		switch m := m.(type) {
 		case *pgproto3.Terminate:
 			return nil, nil
 		case *pgproto3.Query:
 			return c.simple(m), nil
 		case *pgproto3.Sync:
-			return c.extended(extended)
-		case *pgproto3.Flush, *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+			c.skipping = false
+			return c.extended(extended), nil
+		case *pgproto3.Flush:
+			if preparesOnly(extended) {
+				b := c.extended(extended)
+				b.flush = true
+				return b, nil
+			}
+		case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 			// Remains of a copy that failed are dropped, as PostgreSQL does.
 		case *pgproto3.FunctionCall:
 			return nil, &fault{Code: codeFeature, Text: "function calls by number are not carried; use SELECT", Fatal: true}
@@ -107,6 +119,32 @@
 	}
 }
 
+// preparesOnly reports whether there are messages and none executes anything.
+// Only then may Flush end a batch: work in progress has to stay with the Sync
+// that commits it.
+func preparesOnly(messages []pgproto3.FrontendMessage) bool {
+	for _, m := range messages {
+		switch m := m.(type) {
+		case *pgproto3.Parse:
+		case *pgproto3.Describe:
+			if m.ObjectType != 'S' {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return len(messages) > 0
+}
+
+func endsSkipping(m pgproto3.FrontendMessage) bool {
+	switch m.(type) {
+	case *pgproto3.Sync, *pgproto3.Terminate:
+		return true
+	}
+	return false
+}
+
 // next returns the next message. An idle caller is sent away in a planned
 // stop.
 func (c *caller) next(idle bool) (pgproto3.FrontendMessage, *fault) {
--- a/listener/relay.go
+++ b/listener/relay.go
@@ -185,7 +185,7 @@
 	if m.Code == codeFeature && strings.HasPrefix(m.Message, stalePlan) {
 		u.conn.Retire = true
 	}
-	u.decided = true
+	u.decided, u.request.failed = true, true
 	return u.pass(m)
 }
 
--- a/listener/request.go
+++ b/listener/request.go
@@ -26,6 +26,8 @@
 	early *node.AnswerRequest
 	// held are the bytes of the answer that wait for the verdict.
 	held []byte
+	// failed is set once the answer holds an error of the upstream.
+	failed bool
 	// saw is set once bytes of the answer went to the caller.
 	saw bool
 	// status is the transaction state after the request.
@@ -44,6 +46,7 @@
 
 // handle answers one batch.
 func (c *caller) handle(b *batch) {
+	c.flushing, c.faulted = b.flush, false
 	if c.answerBroken(b) {
 		return
 	}
--- a/listener/run.go
+++ b/listener/run.go
@@ -61,6 +61,10 @@
 	u.conn.SetDeadline(c.wallTime(c.deadline(r)))
 	stop := u.guard()
 	err := u.exchange()
+	if err == nil && u.done.Outcome != node.OutcomeCompleted && u.status != statusIdle {
+		// The transaction that the batch opened here is not the caller's.
+		err = u.undo()
+	}
 	stop()
 	clean := c.end()
 	c.server.options.Span("upstream-run", r.settings.Traceparent, start, c.server.options.Now())
