--- a/listener/server.go
+++ b/listener/server.go
@@ -7,6 +7,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -55,6 +56,9 @@
 	// draining is closed at the start of a planned stop.
 	draining chan struct{}
 
+	// open counts network connections, of callers or not yet.
+	open atomic.Int64
+
 	mu       sync.Mutex
 	requests map[catalog.RequestID]*request
 	last     catalog.RequestID
@@ -110,10 +114,20 @@
 			}
 			return errors.Annotate(err, "accept of callers")
 		}
+		if s.open.Add(1) > int64(s.options.MaxCallers)*strangers {
+			s.open.Add(-1)
+			_ = conn.Close()
+			continue
+		}
 		go s.meet(conn)
 	}
 }
 
+// strangers is how many network connections there may be for each caller that
+// may be let in. Cancel requests and those that have yet to show who they are
+// need some.
+const strangers = 2
+
 // acceptPause is the wait after an accept failed for lack of descriptors.
 const acceptPause = 10 * time.Millisecond
 
--- a/listener/startup.go
+++ b/listener/startup.go
@@ -29,6 +29,7 @@
 
 // meet serves one network connection from its first byte.
 func (s *Server) meet(conn net.Conn) {
+	defer s.open.Add(-1)
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(startupTimeout))
 	c := newCaller(s, conn)
