--- a/listener/run.go
+++ b/listener/run.go
@@ -59,9 +59,12 @@
 	}
 	start := c.server.options.Now()
 	u.conn.SetDeadline(c.wallTime(c.deadline(r)))
-	c.begin(u.conn)
 	stop := u.guard()
 	err := u.exchange()
+	if err == nil && u.done.Outcome != node.OutcomeCompleted && u.status != statusIdle {
+		// The transaction that the batch opened here is not the caller's.
+		err = u.undo()
+	}
 	stop()
 	clean := c.end()
 	c.server.options.Span("upstream-run", r.settings.Traceparent, start, c.server.options.Now())
@@ -210,6 +213,7 @@
 	u.done.Outcome = node.OutcomeLost
 	if u.conn.Unsent() > inlineWrite {
 		go func() { u.written <- u.flushUpstream() }()
+		u.caller.begin(u.request, u.conn)
 		return nil
 	}
 	n, err := u.conn.Flush()
@@ -217,6 +221,7 @@
 		u.done.Outcome = node.OutcomeNotSent
 	}
 	u.written <- err
+	u.caller.begin(u.request, u.conn)
 	return err
 }
 
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
@@ -34,11 +36,8 @@
 		return
 	}
 	due := i.nextProbe
-	if e.probeWanted(i) {
-		due = min(i.probedAt.Add(urgentProbe), i.nextProbe)
-		if i.id == i.service.primary.Instance {
-			due = e.now
-		}
+	if after, wanted := e.probeWanted(i); wanted {
+		due = min(i.probedAt.Add(after), i.nextProbe)
 	} else if !e.observes(i.service.id) && !e.inUse(i.service) {
 		return
 	}
@@ -57,17 +56,27 @@
 		return
 	}
 	idle.state = connProbing
-	i.probeConn, i.probedAt = idle.id, e.now
+	i.probeConn, i.probedAt, i.probeStep = idle.id, e.now, e.steps
 	i.nextProbe = e.now.Add(e.options.Timings.Probe)
 	e.emit(Probe{Conn: idle.id, Deadline: e.now.Add(e.options.Timings.ProbeTimeout)})
 }
 
-// probeWanted reports whether requests wait for the upstream's position.
-func (e *Entry) probeWanted(i *entryInstance) bool {
+// probeWanted reports whether requests wait for the upstream's position, and
+// how long after the last probe it is worth asking again.
+func (e *Entry) probeWanted(i *entryInstance) (after time.Duration, wanted bool) {
 	s := i.service
-	if s.primary.Instance != i.id {
-		return len(s.replicating) > 0 || s.waitsForReplica()
+	switch {
+	case s.primary.Instance == i.id:
+		return 0, s.waitsForPrimary()
+	case len(s.replicating) > 0:
+		return majorityProbe, true
+	default:
+		return proofProbe, s.waitsForReplica()
 	}
+}
+
+// waitsForPrimary reports whether a request waits for the primary's position.
+func (s *entryService) waitsForPrimary() bool {
 	for _, r := range s.replicating {
 		if r.reached.Zero() {
 			return true
@@ -111,14 +120,30 @@
 		return
 	}
 	e.seeAlive(i)
-	e.learn(i, v.Role, v.Position, v.SentAt)
+	e.learn(i, v.Role, v.Position, asked{sentAt: v.SentAt, step: i.probeStep})
 	if c.state == connProbing {
 		e.free(c)
 	}
 }
 
+// asked says when a question for a position left. Step is the step that sent
+// it, zero if that is not known; it orders what happened at one instant.
+type asked struct {
+	sentAt catalog.Instant
+	step   uint64
+}
+
+// follows reports whether the question left after the request arrived.
+func (a asked) follows(r *entryRequest) bool {
+	if a.sentAt == r.arrived {
+		return a.step >= r.step
+	}
+	return a.sentAt.After(r.arrived)
+}
+
 // learn takes an upstream's first-hand word of its role and position.
-func (e *Entry) learn(i *entryInstance, role catalog.Role, at catalog.Position, sentAt catalog.Instant) {
+func (e *Entry) learn(i *entryInstance, role catalog.Role, at catalog.Position, a asked) {
+	sentAt := a.sentAt
 	if sentAt.Before(i.knownAt) {
 		return
 	}
@@ -128,9 +153,9 @@
 	i.known, i.knownAt, i.position = true, sentAt, at
 	s := i.service
 	if s.primary.Instance == i.id {
-		if e.leaseCan(s, s.primary.Epoch, e.now) && i.role == catalog.RolePrimary && at.Term >= s.primary.Term {
+		if e.leaseHolds(s, s.primary.Epoch, e.now) && i.role == catalog.RolePrimary && at.Term >= s.primary.Term {
 			e.pushRing(s, ringEntry{sentAt: sentAt, position: at})
-			e.floorsFrom(s, sentAt, at)
+			e.floorsFrom(s, a, at)
 		}
 		return
 	}
@@ -177,10 +202,10 @@
 
 // floorsFrom answers the reads that waited for the primary's position and
 // arrived before the question was sent.
-func (e *Entry) floorsFrom(s *entryService, sentAt catalog.Instant, at catalog.Position) {
+func (e *Entry) floorsFrom(s *entryService, a asked, at catalog.Position) {
 	for _, q := range s.waiting {
 		for _, r := range q {
-			if r.FloorUnknown && !r.floorKnown && !sentAt.Before(r.arrived) {
+			if r.FloorUnknown && !r.floorKnown && a.follows(r) {
 				r.floorKnown = true
 				if r.Floor.Less(at) {
 					r.Floor = at
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -11,7 +11,7 @@
 		return
 	}
 	s := e.services[v.Service]
-	r := &entryRequest{RequestArrived: v, service: s, arrived: e.now, queued: e.now}
+	r := &entryRequest{RequestArrived: v, service: s, arrived: e.now, step: e.steps, queued: e.now}
 	r.Class = min(v.Class, ClassBrowse)
 	r.floorKnown = !v.FloorUnknown
 	e.requests[r.Request] = r
@@ -49,7 +49,7 @@
 		e.refuse(r, "the transaction was rolled back", retryLeast)
 		return
 	}
-	if c.atPrimary && !e.leaseCan(r.service, c.epoch, e.now) {
+	if c.atPrimary && !e.leaseHolds(r.service, c.epoch, e.now) {
 		e.closeConn(c)
 		e.refuse(r, "the transaction was rolled back: the primary's lease has ended", retryLeast)
 		return
@@ -151,7 +151,7 @@
 	if r.Kind == KindWrite && v.Outcome == OutcomeCompleted && !i.known {
 		role = catalog.RolePrimary
 	}
-	e.learn(i, role, v.Position, v.AskedAt)
+	e.learn(i, role, v.Position, asked{sentAt: v.AskedAt})
 	probe := e.options.Timings.Probe
 	i.nextProbe = min(e.now.Add(probe), i.probedAt.Add(probesSpared*probe))
 }
@@ -202,7 +202,7 @@
 func (e *Entry) answerDone(r *entryRequest) {
 	e.answer(r, AnswerRequest{
 		Request: r.Request, Verdict: VerdictDone, Floor: r.Floor,
-		Replica: r.isRead() && !r.atPrimary,
+		Replica: !r.atPrimary,
 	})
 }
 
@@ -234,6 +234,8 @@
 		e.count("replica-reads")
 	case r.isRead():
 		e.count("primary-reads")
+	case r.Kind == KindInside:
+		e.count("transaction-statements")
 	default:
 		e.count("writes")
 	}
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -18,7 +18,8 @@
 	idleBound       = 10 * time.Second
 	usedBound       = time.Minute
 	demandWindow    = 500 * time.Millisecond
-	urgentProbe     = 3 * time.Millisecond
+	majorityProbe   = 3 * time.Millisecond
+	proofProbe      = 10 * time.Millisecond
 	backoffFirst    = 20 * time.Millisecond
 	backoffMost     = 2 * time.Second
 	failoverBound   = 8 * time.Second
@@ -136,6 +137,7 @@
 	// probeConn carries the probe in flight, zero if none is.
 	probeConn catalog.ConnID
 	probedAt  catalog.Instant
+	probeStep uint64
 	running   int
 	limit     float64
 	lowest    time.Duration
@@ -184,6 +186,7 @@
 	RequestArrived
 	service   *entryService
 	arrived   catalog.Instant
+	step      uint64
 	queued    catalog.Instant
 	startedAt catalog.Instant
 	instance  *entryInstance
