--- a/catalog/statements.go
+++ b/catalog/statements.go
@@ -3,7 +3,8 @@
 // Statements are what the system says to upstreams on its own account.
 type Statements struct {
 	// Status returns one row: whether the upstream is a replica (t or f), its
-	// term, and its log position in bytes.
+	// term, the log position in bytes that it shows, and the one up to which
+	// it holds the log.
 	Status string
 	// Promote makes a replica the primary of its group. %TERM% stands for the
 	// newest term known; the group must begin a higher one. PostgreSQL does if
@@ -25,6 +26,9 @@
 			"(SELECT timeline_id FROM pg_control_checkpoint())) " +
 			"ELSE ('x' || substr(pg_walfile_name(pg_current_wal_lsn()), 1, 8))::bit(32)::int END, " +
 			"(CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() " +
+			"ELSE pg_current_wal_lsn() END - '0/0')::bigint, " +
+			"(CASE WHEN pg_is_in_recovery() " +
+			"THEN greatest(pg_last_wal_receive_lsn(), pg_last_wal_replay_lsn()) " +
 			"ELSE pg_current_wal_lsn() END - '0/0')::bigint",
 		Promote: "SELECT pg_promote(true, 5) /* after term %TERM% */",
 		Follow: []string{
--- a/daemon/survey.go
+++ b/daemon/survey.go
@@ -34,9 +34,10 @@
 func (d *databases) survey(ctx context.Context, v node.Survey) {
 	ctx, cancel := d.within(ctx, v.Deadline)
 	defer cancel()
-	role, position, evidence := d.surveyor.Survey(ctx, v.Service, v.Address)
+	status, evidence := d.surveyor.Survey(ctx, v.Service, v.Address)
 	d.shared.loop.Feed(node.Surveyed{
-		Survey: v.Survey, Instance: v.Instance, Evidence: evidence, Role: role, Position: position,
+		Survey: v.Survey, Instance: v.Instance, Evidence: evidence,
+		Role: status.Role, Position: status.Position, Received: status.Received,
 	})
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -157,7 +157,7 @@
 	c.SetDeadline(time.Time{})
 	done.Evidence = wire.EvidenceAlive
 	if refused == nil {
-		done.Role, done.Position = status.Role, status.Position
+		done.Role, done.Position, done.Received = status.Role, status.Position, status.Received
 	}
 	p.options.Feed(done)
 	c.Park()
--- a/upstream/status.go
+++ b/upstream/status.go
@@ -11,12 +11,14 @@
 )
 
 // statusColumns is how many columns the answer to Statements.Status has.
-const statusColumns = 3
+const statusColumns = 4
 
 // Status is an upstream's answer to Statements.Status.
 type Status struct {
 	Role     catalog.Role
 	Position catalog.Position
+	// Received is how far the upstream holds its group's log.
+	Received catalog.Offset
 }
 
 // ParseStatus reads the row of the answer to Statements.Status.
@@ -32,11 +34,19 @@
 	if err != nil {
 		return Status{}, errors.Annotate(err, "log position of the upstream")
 	}
+	received, err := strconv.ParseUint(string(row[3]), 10, 64)
+	if err != nil {
+		return Status{}, errors.Annotate(err, "received log position of the upstream")
+	}
 	role := catalog.RolePrimary
 	if string(row[0]) == "t" {
 		role = catalog.RoleReplica
 	}
-	return Status{role, catalog.Position{Term: catalog.Term(term), Offset: catalog.Offset(offset)}}, nil
+	return Status{
+		Role:     role,
+		Position: catalog.Position{Term: catalog.Term(term), Offset: catalog.Offset(offset)},
+		Received: catalog.Offset(received),
+	}, nil
 }
 
 // ReceiveStatus reads the answer to Statements.Status up to ReadyForQuery. The
--- a/upstream/survey.go
+++ b/upstream/survey.go
@@ -49,12 +49,12 @@
 // Survey asks an upstream for role and position.
 func (s *Surveyor) Survey(
 	ctx context.Context, service catalog.ServiceID, address string,
-) (catalog.Role, catalog.Position, wire.Evidence) {
+) (Status, wire.Evidence) {
 	status, err := s.status(ctx, target{service, address})
 	if err != nil {
-		return catalog.RoleUnknown, catalog.Position{}, evidenceOf(err)
+		return Status{}, evidenceOf(err)
 	}
-	return status.Role, status.Position, wire.EvidenceAlive
+	return status, wire.EvidenceAlive
 }
 
 // Promote makes an upstream the primary of its group. It reports whether the
