standin: add a small database that speaks PostgreSQL

Tests and measurements need groups with terms, forks, replication lag, slots and connection limits, which a real PostgreSQL gives only with many processes and no settable lag.

A wait for a row gives its slot back; else one waiter could hold up the commit that it waits for.

--- /dev/null
+++ b/standin/errors.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// SQLSTATE codes that the stand-in gives.
+const (
+	codeProtocol      = "08P01"
+	codeDuplicate     = "23505"
+	codeReadOnly      = "25006"
+	codeFailed        = "25P02"
+	codePassword      = "28P01"
+	codeConflict      = "40001"
+	codeDeadlock      = "40P01"
+	codeSyntax        = "42601"
+	codeInvalidText   = "22P02"
+	codeNoStatement   = "26000"
+	codeNoPortal      = "34000"
+	codeNotInRecovery = "55000"
+	codeLockTimeout   = "55P03"
+	codeTooMany       = "53300"
+	codeCanceled      = "57014"
+	codeShutdown      = "57P01"
+)
+
+// sqlError is an error that a client sees.
+type sqlError struct {
+	code    string
+	message string
+}
+
+// Error returns the text of the error.
+func (e *sqlError) Error() string {
+	return e.message + " (" + e.code + ")"
+}
+
+func fail(code, format string, args ...any) error {
+	return &sqlError{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+func response(severity string, err error) *pgproto3.ErrorResponse {
+	e, ok := err.(*sqlError)
+	if !ok {
+		e = &sqlError{code: "XX000", message: err.Error()}
+	}
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                e.code,
+		Message:             e.message,
+	}
+}
--- /dev/null
+++ b/standin/script_test.go
@@ -0,0 +1,60 @@
+package standin
+
+import (
+	"bufio"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+)
+
+// TestSession runs testdata/session.txt over the simple protocol.
+func TestSession(t *testing.T) {
+	s := begin(t, Options{})
+	conns := map[string]*pgx.Conn{"a": connect(t, s), "b": connect(t, s)}
+	f, err := os.Open("testdata/session.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		line := lines.Text()
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, rest, _ := strings.Cut(line, "> ")
+		sql, want, _ := strings.Cut(rest, " => ")
+		if got := do(conns[name], sql, pgx.QueryExecModeSimpleProtocol); got != want {
+			t.Errorf("line %d: %s gave %q, want %q", n, sql, got, want)
+		}
+	}
+}
+
+func TestDeadlock(t *testing.T) {
+	s := begin(t, Options{Slots: 1})
+	a, b := connect(t, s), connect(t, s)
+	do(a, "INSERT INTO kv (key, value) VALUES ('1', '0')")
+	do(a, "INSERT INTO kv (key, value) VALUES ('2', '0')")
+	do(a, "BEGIN")
+	do(b, "BEGIN")
+	do(a, "UPDATE kv SET value = 'a' WHERE key = '1'")
+	do(b, "UPDATE kv SET value = 'b' WHERE key = '2'")
+	waits := make(chan string)
+	go func() { waits <- do(a, "UPDATE kv SET value = 'a' WHERE key = '2'") }()
+	blocked := func() bool {
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		return s.store.locks[rowID{"kv", "1"}].waits != nil
+	}
+	if !eventually(blocked) {
+		t.Fatal("the first writer does not wait")
+	}
+	if got := do(b, "UPDATE kv SET value = 'b' WHERE key = '1'"); got != codeDeadlock {
+		t.Fatalf("the second writer got %s", got)
+	}
+	if got := <-waits; got != "UPDATE 1" {
+		t.Fatalf("the first writer got %s", got)
+	}
+}
