--- a/catalog/statements.go
+++ b/catalog/statements.go
@@ -30,7 +30,7 @@
 			"(CASE WHEN pg_is_in_recovery() " +
 			"THEN greatest(pg_last_wal_receive_lsn(), pg_last_wal_replay_lsn()) " +
 			"ELSE pg_current_wal_lsn() END - '0/0')::bigint",
-		Promote: "SELECT pg_promote(true, 5) /* after term %TERM% */",
+		Promote: "SELECT pg_promote(true, 5), %TERM% AS after_term",
 		Follow: []string{
 			"ALTER SYSTEM SET primary_conninfo = 'host=%HOST% port=%PORT%'",
 			"SELECT pg_reload_conf()",
--- a/standin/server.go
+++ b/standin/server.go
@@ -122,8 +122,13 @@
 
 // Promote makes a replica the primary of its group.
 func (s *Server) Promote() error {
+	return s.PromoteAfter(0)
+}
+
+// PromoteAfter does as Promote, with a new term above the one given.
+func (s *Server) PromoteAfter(term catalog.Term) error {
 	s.stopFollowing()
-	if !s.store.promote() {
+	if !s.store.promote(term) {
 		return fail(codeNotInRecovery, "recovery is not in progress")
 	}
 	s.announceNow()
--- a/standin/server_test.go
+++ b/standin/server_test.go
@@ -117,7 +117,7 @@
 	Convey("the status statement gives role, term and offset in both protocols", t, func() {
 		c := connect(t, s)
 		status := catalog.DefaultStatements().Status
-		So(do(c, status, pgx.QueryExecModeSimpleProtocol), ShouldEqual, "f,1,0")
+		So(do(c, status, pgx.QueryExecModeSimpleProtocol), ShouldEqual, "f,1,0,0")
 		var replica bool
 		var term, offset int64
 		So(c.QueryRow(bounded(t), status).Scan(&replica, &term, &offset), ShouldBeNil)
--- a/standin/store.go
+++ b/standin/store.go
@@ -120,7 +120,8 @@
 }
 
 // promote makes a replica the primary, once it has applied all it received.
-func (d *store) promote() bool {
+// The new term is above after and above all that the instance knows of.
+func (d *store) promote(after catalog.Term) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.role == catalog.RolePrimary {
@@ -130,7 +131,7 @@
 		d.apply(r)
 	}
 	d.pending = nil
-	at, term, kept := d.offset(), catalog.Term(0), []era{}
+	at, term, kept := d.offset(), after, []era{}
 	for _, e := range d.eras {
 		term = max(term, e.Term)
 		if e.At <= at {
--- a/standin/system.go
+++ b/standin/system.go
@@ -24,9 +24,12 @@
 			})
 		}),
 		shape(`select pg_(current_wal|last_wal_replay)_lsn\(~\)`, walPosition),
-		shape(`select pg_promote\(.*\)`, func([]string) *statement {
+		shape(`select pg_promote\([^)]*\)(?:~,~(\d+) as after_term)?`, func(m []string) *statement {
+			// The term stands for the archive of timeline histories that the
+			// instances of a group share.
+			after, _ := strconv.ParseUint(m[1], 10, 64)
 			return freeOne("pg_promote", oidBool, func(c *conn) (string, error) {
-				return "t", c.server.Promote()
+				return "t", c.server.PromoteAfter(catalog.Term(after))
 			})
 		}),
 		shape(`alter system set primary_conninfo~(?:=|to)~<V>`, primaryConninfo),
@@ -60,13 +63,16 @@
 		{name: "pg_is_in_recovery", oid: oidBool},
 		{name: "term", oid: oidInt4},
 		{name: "offset", oid: oidInt8},
+		{name: "received", oid: oidInt8},
 	}}
 	s.run = func(_ context.Context, c *conn, _ []string) (result, error) {
 		role, p := c.server.store.status()
+		_, received := c.server.store.received()
 		return result{tag: "SELECT 1", rows: [][]string{{
 			boolText(role == catalog.RoleReplica),
 			strconv.FormatUint(uint64(p.Term), 10),
 			strconv.FormatUint(uint64(p.Offset), 10),
+			strconv.FormatUint(uint64(max(received, p.Offset)), 10),
 		}}}, nil
 	}
 	return s
