--- /dev/null
+++ b/listener/caller_test.go
@@ -0,0 +1,287 @@
+package listener
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgxpool"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/xdg-go/scram"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/standin"
+	"github.com/kingcupknot/kingcupknot/token"
+)
+
+func bounded(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func begin(t *testing.T, size int, change func(*Options)) *driver {
+	return newDriver(t, startUpstream(t, standin.Options{}).Address, size, change)
+}
+
+func TestPreparedStatementsRoam(t *testing.T) {
+	d, ctx := begin(t, 3, nil), bounded(t)
+	Convey("callers of a pool share fewer connections, each with its own statements", t, func() {
+		pool, err := pgxpool.New(ctx, callerURL(d)+"&pool_max_conns=8")
+		So(err, ShouldBeNil)
+		defer pool.Close()
+		var all sync.WaitGroup
+		faults := make(chan error, 8)
+		for g := range 8 {
+			all.Go(func() { faults <- roam(ctx, pool, g) })
+		}
+		all.Wait()
+		for range 8 {
+			So(<-faults, ShouldBeNil)
+		}
+		So(len(seen[node.ConnOpened](d)), ShouldEqual, 3)
+		So(seen[node.ConnLost](d), ShouldBeEmpty)
+	})
+	Convey("more statements than a connection keeps go on to work", t, func() {
+		c := connect(t, d, "&statement_cache_capacity=600")
+		for i := range 900 {
+			var got int
+			sql := fmt.Sprintf("SELECT $1::int AS c%d", i%450)
+			So(c.QueryRow(ctx, sql, i).Scan(&got), ShouldBeNil)
+			So(got, ShouldEqual, i)
+		}
+	})
+}
+
+func roam(ctx context.Context, pool *pgxpool.Pool, g int) error {
+	for i := range 50 {
+		var got int
+		if err := pool.QueryRow(ctx, "SELECT $1::int", i*8+g).Scan(&got); err != nil || got != i*8+g {
+			return fmt.Errorf("read %d of %d: got %d, %w", i, g, got, err)
+		}
+		key := fmt.Sprintf("%d-%d", g, i)
+		if _, err := pool.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", key, "1"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestPipelineWithAnError(t *testing.T) {
+	d, ctx := begin(t, 1, nil), bounded(t)
+	Convey("an error undoes the pipeline and skips the rest, and the next request works", t, func() {
+		c := connect(t, d, "")
+		b := &pgx.Batch{}
+		for _, key := range []string{"a", "b", "a", "c"} {
+			b.Queue("INSERT INTO kv (key, value) VALUES ($1, $2)", key, "1")
+		}
+		results := c.SendBatch(ctx, b)
+		for _, want := range []string{"", "", "23505", "23505"} {
+			_, err := results.Exec()
+			if want == "" {
+				So(err, ShouldBeNil)
+				continue
+			}
+			So(state(err), ShouldStartWith, want)
+		}
+		So(results.Close(), ShouldNotBeNil)
+		var n int
+		So(c.QueryRow(ctx, "SELECT count(*) FROM kv").Scan(&n), ShouldBeNil)
+		So(n, ShouldEqual, 0)
+	})
+}
+
+func TestFlush(t *testing.T) {
+	d := begin(t, 2, nil)
+	Convey("Flush brings what was prepared, and an error skips to Sync", t, func() {
+		h, err := connect(t, d, "").PgConn().Hijack()
+		So(err, ShouldBeNil)
+		So(h.Conn.SetDeadline(time.Now().Add(5*time.Second)), ShouldBeNil)
+		talk := func(want string, messages ...pgproto3.FrontendMessage) {
+			for _, m := range messages {
+				h.Frontend.Send(m)
+			}
+			So(h.Frontend.Flush(), ShouldBeNil)
+			var got string
+			for len(got) < len(want) {
+				m, err := h.Frontend.Receive()
+				So(err, ShouldBeNil)
+				if _, status := m.(*pgproto3.ParameterStatus); !status {
+					got += strings.TrimPrefix(fmt.Sprintf("%T ", m), "*pgproto3.")
+				}
+			}
+			So(got, ShouldEqual, want)
+		}
+		describe, flush, sync := &pgproto3.Describe{ObjectType: 'S'}, &pgproto3.Flush{}, &pgproto3.Sync{}
+		talk("ParseComplete ParameterDescription RowDescription ",
+			&pgproto3.Parse{Query: "SELECT $1::text"}, describe, flush)
+		talk("BindComplete DataRow CommandComplete ReadyForQuery ",
+			&pgproto3.Bind{Parameters: [][]byte{[]byte("x")}}, &pgproto3.Execute{}, sync)
+		talk("ErrorResponse ", &pgproto3.Parse{Query: "SELECT nonsense"}, describe, flush)
+		talk("ReadyForQuery ", &pgproto3.Bind{}, &pgproto3.Execute{}, sync)
+		talk("ErrorResponse ", &pgproto3.Parse{Query: "LISTEN x"}, describe, flush)
+		talk("ReadyForQuery EmptyQueryResponse ReadyForQuery ", sync, &pgproto3.Query{})
+	})
+}
+
+func TestCopy(t *testing.T) {
+	d, ctx := begin(t, 1, nil), bounded(t)
+	d.order = func(e *node.RunRequest) { e.AskPosition = true }
+	Convey("COPY goes in and out, and fails as a whole", t, func() {
+		c := connect(t, d, "")
+		var in, out strings.Builder
+		for i := range 5000 {
+			fmt.Fprintf(&in, "%05d\t%d\n", i, i)
+		}
+		tag, err := c.PgConn().CopyFrom(ctx, strings.NewReader(in.String()), "COPY kv FROM STDIN")
+		So(err, ShouldBeNil)
+		So(tag.String(), ShouldEqual, "COPY 5000")
+		_, err = c.PgConn().CopyFrom(ctx, strings.NewReader("x\t1\n00001\t1\n"), "COPY kv FROM STDIN")
+		So(state(err), ShouldStartWith, "23505")
+		_, err = c.PgConn().CopyTo(ctx, &out, "COPY kv TO STDOUT")
+		So(err, ShouldBeNil)
+		So(out.String(), ShouldEqual, in.String())
+		So(c.PgConn().ParameterStatus("kingcupknot.token"), ShouldNotBeEmpty)
+	})
+}
+
+func TestLargeAnswer(t *testing.T) {
+	d, ctx := begin(t, 1, nil), bounded(t)
+	Convey("an answer larger than any buffer waits for its reader", t, func() {
+		c := connect(t, d, "")
+		const rows = 400_000
+		r, err := c.Query(ctx, "SELECT generate_series(1, $1)", rows)
+		So(err, ShouldBeNil)
+		n, total := 0, 0
+		for r.Next() {
+			if err := r.Scan(&n); err != nil {
+				t.Fatal(err)
+			}
+			total += n
+		}
+		So(r.Err(), ShouldBeNil)
+		So(total, ShouldEqual, rows*(rows+1)/2)
+	})
+}
+
+func TestSessions(t *testing.T) {
+	d, ctx := begin(t, 1, nil), bounded(t)
+	d.order = func(e *node.RunRequest) { e.AskPosition = true }
+	last := func() node.RequestArrived {
+		all := seen[node.RequestArrived](d)
+		return all[len(all)-1]
+	}
+	simple := pgx.QueryExecModeSimpleProtocol
+	Convey("a session carries its floor by a token", t, func() {
+		a := connect(t, d, "&kingcupknot.session=s")
+		_, err := a.Exec(ctx, "INSERT INTO kv (key, value) VALUES ('k', '1')")
+		So(err, ShouldBeNil)
+		text := a.PgConn().ParameterStatus("kingcupknot.token")
+		carried, err := token.Verify([]byte("test key"), testService, text)
+		So(err, ShouldBeNil)
+		So(carried.Session, ShouldEqual, catalog.SessionID("s"))
+
+		b := connect(t, d, "&kingcupknot.token="+text)
+		_, err = b.Exec(ctx, "SELECT 1", simple)
+		So(err, ShouldBeNil)
+		So(last().Floor, ShouldResemble, carried.Position)
+		So(last().FloorUnknown, ShouldBeFalse)
+
+		c := connect(t, d, "")
+		_, err = c.Exec(ctx, "/* kingcupknot: token="+text+", max-age=500ms, class=browse */ SELECT 1", simple)
+		So(err, ShouldBeNil)
+		So(last().Floor, ShouldResemble, carried.Position)
+		So(last().MaxAge, ShouldEqual, 500*time.Millisecond)
+		So(last().Class, ShouldEqual, node.ClassBrowse)
+		_, err = c.Exec(ctx, "SELECT 1", simple)
+		So(err, ShouldBeNil)
+		So(last().Class, ShouldEqual, node.ClassNormal)
+	})
+	Convey("a session known by its id has an unknown floor", t, func() {
+		c := connect(t, d, "&options=-c%20kingcupknot.session%3Ds")
+		_, err := c.Exec(ctx, "SELECT 1", simple)
+		So(err, ShouldBeNil)
+		So(last().FloorUnknown, ShouldBeTrue)
+	})
+	Convey("what can't be carried is refused at the start", t, func() {
+		for more, want := range map[string]string{
+			"&kingcupknot.token=1.forged": codeAuthorization,
+			"&search_path=x":              codeFeature,
+			"&kingcupknot.class=x":        codeParameter,
+		} {
+			_, err := pgx.Connect(ctx, callerURL(d)+more)
+			So(state(err), ShouldStartWith, want)
+		}
+	})
+}
+
+func TestPasswords(t *testing.T) {
+	client, err := scram.SHA256.NewClient(testUser, "secret", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	verifier, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "salt of the test", Iters: 4096})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := begin(t, 1, func(o *Options) { o.Callers = map[string]scram.StoredCredentials{testUser: verifier} })
+	ctx := bounded(t)
+	Convey("a caller proves its password", t, func() {
+		_, err := connect(t, d, "").Exec(ctx, "SELECT 1")
+		So(err, ShouldBeNil)
+		for _, wrong := range []string{":wrong@", ":@"} {
+			_, err = pgx.Connect(ctx, strings.Replace(callerURL(d), ":secret@", wrong, 1))
+			So(err, ShouldNotBeNil)
+		}
+		_, err = pgx.Connect(ctx, strings.Replace(callerURL(d), "//"+testUser+":", "//nobody:", 1))
+		So(state(err), ShouldStartWith, codePassword)
+	})
+}
+
+func TestDrain(t *testing.T) {
+	d, ctx := begin(t, 2, nil), bounded(t)
+	Convey("a planned stop lets transactions end and takes no callers", t, func() {
+		idle, busy := connect(t, d, ""), connect(t, d, "")
+		tx, err := busy.Begin(ctx)
+		So(err, ShouldBeNil)
+		d.server.Drain()
+		eventually(t, "the idle caller is sent away", func() bool { return idle.Ping(ctx) != nil })
+		_, err = tx.Exec(ctx, "INSERT INTO kv (key, value) VALUES ('k', '1')")
+		So(err, ShouldBeNil)
+		So(d.server.Idle(), ShouldBeFalse)
+		So(tx.Commit(ctx), ShouldBeNil)
+		eventually(t, "all callers left", d.server.Idle)
+		_, err = pgx.Connect(ctx, callerURL(d))
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	primary := startUpstream(t, standin.Options{})
+	replica := startUpstream(t, standin.Options{Follow: primary.Address})
+	d, ctx := newDriver(t, replica.Address, 1, nil), bounded(t)
+	Convey("a write that a replica refuses can run elsewhere", t, func() {
+		for _, sql := range []string{
+			"INSERT INTO kv (key, value) VALUES ('k', '1')",
+			"/* kingcupknot: request=r */ INSERT INTO kv (key, value) VALUES ('k', '1')",
+		} {
+			_, err := connect(t, d, "").Exec(ctx, sql)
+			So(state(err), ShouldStartWith, codeOutcomeUnknown)
+			done := seen[node.RequestDone](d)
+			last := done[len(done)-1]
+			So(last.Outcome, ShouldEqual, node.OutcomeReadOnly)
+			So(last.CallerSaw, ShouldBeFalse)
+			So(last.Reusable, ShouldBeTrue)
+		}
+	})
+	Convey("a read-only transaction's own error is passed on", t, func() {
+		_, err := connect(t, d, "").Exec(ctx, "BEGIN READ ONLY; DELETE FROM kv WHERE key = 'k'; COMMIT")
+		So(state(err), ShouldStartWith, codeReadOnly)
+	})
+}
