node: take pushed answers, changes of settings and what replicas hold

Control pushes what changed as another answer to the last report; the entry dropped it as an old one and learned of a new primary only with its next report. Under `replicated` a write now waits until a majority holds it, not until the replicas show it.

--- a/node/entry.go
+++ b/node/entry.go
@@ -42,7 +42,9 @@
 	random  uint64
 	effects []Effect
 
-	version  catalog.Version
+	version catalog.Version
+	// drained lists the upstreams that operators keep new work from.
+	drained  []catalog.InstanceID
 	services map[catalog.ServiceID]*entryService
 	// order holds the keys of services, ascending.
 	order    []catalog.ServiceID
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -45,6 +45,7 @@
 func (e *Entry) restart(i *entryInstance) {
 	i.isLeft = false
 	i.known, i.isFresh, i.role = false, false, catalog.RoleUnknown
+	i.received = catalog.Position{}
 	i.lowest, i.cutAt = 0, 0
 	i.limit = float64(max(1, i.service.settings.Limits.Slots))
 	i.nextProbe, i.openAfter, i.backoff = e.now, e.now, 0
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -120,6 +120,7 @@
 		return
 	}
 	e.seeAlive(i)
+	i.received = catalog.Position{Term: v.Position.Term, Offset: max(v.Received, v.Position.Offset)}
 	e.learn(i, v.Role, v.Position, asked{sentAt: v.SentAt, step: i.probeStep})
 	if c.state == connProbing {
 		e.free(c)
@@ -151,6 +152,9 @@
 		i.role = role
 	}
 	i.known, i.knownAt, i.position = true, sentAt, at
+	if i.received.Term != at.Term {
+		i.received = at
+	}
 	s := i.service
 	if s.primary.Instance == i.id {
 		if e.leaseHolds(s, s.primary.Epoch, e.now) && i.role == catalog.RolePrimary && at.Term >= s.primary.Term {
@@ -162,6 +166,14 @@
 	e.refresh(s, i)
 }
 
+// held is how far the upstream holds its group's log.
+func (i *entryInstance) held() catalog.Position {
+	if i.received.Less(i.position) {
+		return i.position
+	}
+	return i.received
+}
+
 // pushRing adds a position of the primary. Entries closer together than two
 // probes are thinned out, so that the ring reaches far enough back.
 func (e *Entry) pushRing(s *entryService, x ringEntry) {
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -135,7 +135,7 @@
 
 // usable reports whether new work may start at the upstream now.
 func (e *Entry) usable(i *entryInstance) bool {
-	return e.takesWork(i) && !e.now.Before(i.pausedUntil)
+	return e.takesWork(i) && !e.now.Before(i.pausedUntil) && !e.isDrained(i)
 }
 
 // primaryReady returns the primary if new work may start there.
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -146,6 +146,10 @@
 func (e *Entry) takeAnswer(from catalog.VMID, a wire.Answer) {
 	p := &e.report
 	sent, ok := p.sent[a.Sequence]
+	if a.Sequence == p.answered && from == p.leader && !a.Refused {
+		// Control pushes what changed as another answer to the last report.
+		sent, ok = p.answeredAt, true
+	}
 	if !ok {
 		return
 	}
@@ -153,7 +157,7 @@
 		e.takeRefusal(from, a)
 		return
 	}
-	if a.Sequence <= p.answered {
+	if a.Sequence < p.answered {
 		return
 	}
 	p.answered, p.answeredAt, p.unanswered, p.leader = a.Sequence, sent, 0, from
--- a/node/entry_settings.go
+++ b/node/entry_settings.go
@@ -1,13 +1,15 @@
 package node
 
 import (
+	"slices"
+
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
 // takeSettings takes a higher version of the accepted configuration.
 func (e *Entry) takeSettings(a wire.Answer) {
-	if a.Version <= e.version || (len(a.Settings) == 0 && !a.Whole) {
+	if a.Version <= e.version {
 		return
 	}
 	e.version = a.Version
@@ -19,6 +21,17 @@
 	for _, c := range a.Settings {
 		e.configure(c)
 	}
+	for _, id := range a.Removed {
+		e.service(id).accepted = false
+	}
+	if a.HasDrained {
+		e.drained = a.Drained
+	}
+}
+
+// isDrained reports whether operators keep new work from the upstream.
+func (e *Entry) isDrained(i *entryInstance) bool {
+	return slices.Contains(e.drained, i.id)
 }
 
 func (e *Entry) configure(c catalog.Service) {
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -113,6 +113,8 @@
 	confirm    bool
 	role       catalog.Role
 	position   catalog.Position
+	// received is how far it holds the log, which it may not show yet.
+	received catalog.Position
 	// knownAt is when the question that gave role and position was sent.
 	knownAt catalog.Instant
 	known   bool
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -146,7 +146,7 @@
 	n := 0
 	for _, i := range s.instances {
 		if i != r.instance && i.known && i.role == catalog.RoleReplica && e.onHistory(s, i) &&
-			s.primary.Forks.Covers(i.position, r.reached) {
+			s.primary.Forks.Covers(i.held(), r.reached) {
 			n++
 		}
 	}
--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -28,12 +28,14 @@
 		log      []record
 		received []record
 		from     catalog.InstanceID
-		lag      time.Duration
-		dead     bool
-		thawAt   catalog.Instant
-		life     uint64
-		sequence uint64
-		leaving  bool
+		// pull is the time between two pulls of the log, lag that until what
+		// was pulled shows.
+		pull, lag time.Duration
+		dead      bool
+		thawAt    catalog.Instant
+		life      uint64
+		sequence  uint64
+		leaving   bool
 		// promotedAt is when it last became the primary.
 		promotedAt catalog.Instant
 		open       int
@@ -76,7 +78,10 @@
 
 func (w *world) newGroup() {
 	for n, id := range []catalog.InstanceID{"a", "b", "c"} {
-		u := &instance{id: id, site: sites[n], role: catalog.RoleReplica, term: 1, from: "a", life: 1, lag: time.Duration(w.rng.IntN(60)) * ms}
+		u := &instance{
+			id: id, site: sites[n], role: catalog.RoleReplica, term: 1, from: "a", life: 1,
+			pull: time.Duration(3+w.rng.IntN(40)) * ms, lag: time.Duration(w.rng.IntN(60)) * ms,
+		}
 		w.group[id] = u
 		w.announce(u)
 		w.replicate(u)
@@ -110,7 +115,7 @@
 
 // replicate copies what is missing from the upstream it follows, after its lag.
 func (w *world) replicate(u *instance) {
-	w.after(5*ms, func() { w.replicate(u) })
+	w.after(u.pull, func() { w.replicate(u) })
 	from := w.group[u.from]
 	if from == nil || u.dead || from.dead || w.now < from.thawAt || w.now < u.thawAt || w.cut(u.site, from.site) {
 		return
--- a/standin/replication_test.go
+++ b/standin/replication_test.go
@@ -73,7 +73,7 @@
 		do(ca, "UPDATE kv SET value = '9' WHERE key = 'kept'")
 		So(reaches(c, at(a)), ShouldBeTrue)
 
-		So(do(cb, catalog.DefaultStatements().Promote), ShouldEqual, "\x01")
+		So(do(cb, strings.ReplaceAll(catalog.DefaultStatements().Promote, "%TERM%", "1")), ShouldEqual, "\x01")
 		So(at(b), ShouldResemble, catalog.Position{Term: 2, Offset: fork.Offset})
 		So(do(cb, "INSERT INTO kv (key, value) VALUES ('new', '1')"), ShouldEqual, "INSERT 0 1")
 
--- a/standin/server_test.go
+++ b/standin/server_test.go
@@ -119,8 +119,8 @@
 		status := catalog.DefaultStatements().Status
 		So(do(c, status, pgx.QueryExecModeSimpleProtocol), ShouldEqual, "f,1,0,0")
 		var replica bool
-		var term, offset int64
-		So(c.QueryRow(bounded(t), status).Scan(&replica, &term, &offset), ShouldBeNil)
+		var term, offset, received int64
+		So(c.QueryRow(bounded(t), status).Scan(&replica, &term, &offset, &received), ShouldBeNil)
 		So(term, ShouldEqual, 1)
 		So(do(c, "SELECT pg_promote(true, 5)"), ShouldEqual, codeNotInRecovery)
 	})
