relay: add a TCP relay with delays and cuts

Tests with real processes need slow and broken networks. A cut holds back bytes rather than closing connections, as dropped packets do; they arrive after the route is healed.

--- /dev/null
+++ b/cmd/kingcupknot-relay/main.go
@@ -0,0 +1,64 @@
+// Kingcupknot-relay carries TCP connections with delays and cuts, for tests.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/relay"
+)
+
+type options struct {
+	Route []string      `long:"route" required:"true" description:"NAME=IP:PORT=IP:PORT, where it listens and where it leads; repeatable"`
+	Delay time.Duration `long:"delay" description:"One-way delay of all routes at the start"`
+	Admin string        `long:"admin" required:"true" description:"IP:PORT for HTTP: GET /routes, POST /cut, /heal, /delay?d=20ms with route=NAME"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "relay:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	routes := map[string]*relay.Route{}
+	for _, text := range o.Route {
+		part := strings.Split(text, "=")
+		if len(part) != 3 {
+			return errors.Errorf("a route is NAME=IP:PORT=IP:PORT, not %s", text)
+		}
+		r, err := relay.Start(part[1], part[2], o.Delay)
+		if err != nil {
+			return errors.Annotatef(err, "route %s", part[0])
+		}
+		defer r.Stop()
+		routes[part[0]] = r
+	}
+	l, err := net.Listen("tcp", o.Admin)
+	if err != nil {
+		return errors.Annotate(err, "listen for HTTP")
+	}
+	server := &http.Server{Handler: relay.Handler(routes), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	<-signals
+	return errors.Trace(server.Close())
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// echo gives back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestRoute(t *testing.T) {
+	r, err := Start("127.0.0.1:0", echo(t), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Stop)
+	admin := httptest.NewServer(Handler(map[string]*Route{"a": r}))
+	t.Cleanup(admin.Close)
+	say := func(path string) int {
+		answer, err := http.Post(admin.URL+path, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		return answer.StatusCode
+	}
+	c, err := net.Dial("tcp", r.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	round := func(limit time.Duration) error {
+		_ = c.SetDeadline(time.Now().Add(limit))
+		if _, err := c.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	Convey("a route carries, delays, cuts and heals", t, func() {
+		So(round(time.Second), ShouldBeNil)
+		So(say("/delay?route=a&d=30ms"), ShouldEqual, http.StatusOK)
+		start := time.Now()
+		So(round(time.Second), ShouldBeNil)
+		So(time.Since(start), ShouldBeGreaterThanOrEqualTo, 60*time.Millisecond)
+		So(say("/delay?d=0s"), ShouldEqual, http.StatusOK)
+		So(say("/cut?route=a"), ShouldEqual, http.StatusOK)
+		So(round(50*time.Millisecond), ShouldNotBeNil)
+		So(say("/heal"), ShouldEqual, http.StatusOK)
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		_, err := io.ReadFull(c, make([]byte, 1))
+		So(err, ShouldBeNil)
+		So(say("/cut?route=none"), ShouldEqual, http.StatusNotFound)
+		So(say("/delay?d=x"), ShouldEqual, http.StatusBadRequest)
+	})
+}
