standin: stop without waiting for followers

A follower's log stream never ends by itself, so a planned stop of a primary with followers always took the whole drain time.

workload: a run against a lagging replica without a proxy shows that the checks find stale and too old reads in a real run.

--- a/standin/errors.go
+++ b/standin/errors.go
@@ -23,7 +23,6 @@
 	codeLockTimeout   = "55P03"
 	codeTooMany       = "53300"
 	codeCanceled      = "57014"
-	codeShutdown      = "57P01"
 )
 
 // sqlError is an error that a client sees.
--- a/standin/server.go
+++ b/standin/server.go
@@ -176,7 +176,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
-		if c.busy.Load() {
+		if c.busy.Load() && !c.internal {
 			return true
 		}
 	}
--- a/standin/server_test.go
+++ b/standin/server_test.go
@@ -221,3 +221,21 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+func TestShutdownLetsWorkEnd(t *testing.T) {
+	s := begin(t, Options{Instance: "a"})
+	b := begin(t, Options{Instance: "b", Follow: s.Address})
+	Convey("a planned stop waits for an open transaction and for no follower", t, func() {
+		c := connect(t, s)
+		So(do(c, "INSERT INTO kv (key, value) VALUES ('first', '1')"), ShouldEqual, "INSERT 0 1")
+		So(eventually(func() bool { _, p := b.Status(); return p.Offset > 0 }), ShouldBeTrue)
+		do(c, "BEGIN")
+		do(c, "INSERT INTO kv (key, value) VALUES ('k', 'v')")
+		start, done := time.Now(), make(chan struct{})
+		go func() { s.Shutdown(); close(done) }()
+		So(eventually(func() bool { return s.Stats().Leaving }), ShouldBeTrue)
+		So(do(c, "COMMIT"), ShouldEqual, "COMMIT")
+		<-done
+		So(time.Since(start), ShouldBeLessThan, drainTime)
+	})
+}
--- a/workload/run_test.go
+++ b/workload/run_test.go
@@ -44,6 +44,26 @@
 	}
 }
 
+// A replica without a proxy before it shows that a run catches what it should.
+func TestRunFindsStaleReads(t *testing.T) {
+	o := options(t, SessionToken)
+	b, err := standin.Start(standin.Options{
+		Service: "shop", Instance: "b", Listen: "127.0.0.1:0", Follow: o.Entries[0], Lag: 300 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Stop)
+	o.Entries[1], o.MaxAge, o.Duration = b.Address, 20*time.Millisecond, time.Second
+	Convey("reads from a lagging replica are found stale and too old, and nothing else", t, func() {
+		r, err := Run(context.Background(), o)
+		So(err, ShouldBeNil)
+		So(r.Verdict.Stale, ShouldBeGreaterThan, 0)
+		So(r.Verdict.TooOld, ShouldBeGreaterThan, 0)
+		So(r.Verdict, ShouldResemble, history.Verdict{Stale: r.Verdict.Stale, TooOld: r.Verdict.TooOld})
+	})
+}
+
 func TestJudge(t *testing.T) {
 	c := newCaller(&run{options: Options{Entries: []string{"127.0.0.1:1"}, Services: []string{"shop"}}}, 0)
 	Convey("what an error says of a request", t, func() {
