program: share flags, signals and exit codes between the mains

Also: roles and positions in kebab-case JSON, tokens inspected over HTTP at any VM, and control keeps its own connection to each upstream warm, so that the first failover does not wait for a connect.

--- a/catalog/ids.go
+++ b/catalog/ids.go
@@ -2,6 +2,8 @@
 // services, upstream instances, and the positions their logs have reached.
 package catalog
 
+import "github.com/juju/errors"
+
 // SiteID names a data centre.
 type SiteID string
 
@@ -56,6 +58,22 @@
 	RoleReplica
 )
 
+// MarshalText writes the role as String does.
+func (r Role) MarshalText() ([]byte, error) {
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText reads what MarshalText wrote; anything else is an error.
+func (r *Role) UnmarshalText(text []byte) error {
+	for _, k := range []Role{RoleUnknown, RolePrimary, RoleReplica} {
+		if k.String() == string(text) {
+			*r = k
+			return nil
+		}
+	}
+	return errors.NotValidf("role %q", text)
+}
+
 // String returns the role in lower case.
 func (r Role) String() string {
 	switch r {
--- a/catalog/position.go
+++ b/catalog/position.go
@@ -2,8 +2,8 @@
 
 // Position is a place in the history of a database group.
 type Position struct {
-	Term   Term   `cbor:"1,keyasint"`
-	Offset Offset `cbor:"2,keyasint"`
+	Term   Term   `cbor:"1,keyasint" json:"term"`
+	Offset Offset `cbor:"2,keyasint" json:"offset"`
 }
 
 // Zero reports whether the position is before all history.
@@ -23,9 +23,9 @@
 // Fork says where a term left the history of the term before it.
 type Fork struct {
 	// Term is the term that began at the fork.
-	Term Term `cbor:"1,keyasint"`
+	Term Term `cbor:"1,keyasint" json:"term"`
 	// At is the last offset that Term shares with the terms before it.
-	At Offset `cbor:"2,keyasint"`
+	At Offset `cbor:"2,keyasint" json:"at"`
 }
 
 // Forks lists the known forks of one group.
--- a/cmd/kingcupknot-load/main.go
+++ b/cmd/kingcupknot-load/main.go
@@ -3,14 +3,14 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
 
+	"github.com/kingcupknot/kingcupknot/program"
 	"github.com/kingcupknot/kingcupknot/workload"
 )
 
@@ -32,12 +32,10 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
+	program.Main("load", &o, func() error { return run(o) })
+}
+
+func run(o options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	result, err := workload.Run(ctx, workload.Options{
@@ -46,14 +44,13 @@
 		Mode: workload.SessionMode(o.Mode), Seed: o.Seed, User: o.User, Password: o.Password,
 	})
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "load:", err)
-		os.Exit(1)
+		return errors.Trace(err)
 	}
 	if err := result.Report(os.Stdout, o.JSON); err != nil {
-		fmt.Fprintln(os.Stderr, "load:", err)
-		os.Exit(1)
+		return errors.Trace(err)
 	}
 	if !result.Verdict.Good() {
-		os.Exit(1)
+		return errors.New("the history breaks a promise")
 	}
+	return nil
 }
--- a/cmd/kingcupknot-relay/main.go
+++ b/cmd/kingcupknot-relay/main.go
@@ -2,18 +2,14 @@
 package main
 
 import (
-	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
+	"github.com/kingcupknot/kingcupknot/program"
 	"github.com/kingcupknot/kingcupknot/relay"
 )
 
@@ -25,21 +21,11 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "relay:", err)
-		os.Exit(1)
-	}
+	program.Main("relay", &o, func() error { return run(o) })
 }
 
 func run(o options) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := program.Signals()
 	routes := map[string]*relay.Route{}
 	for _, text := range o.Route {
 		part := strings.Split(text, "=")
--- a/cmd/kingcupknot-upstream/main.go
+++ b/cmd/kingcupknot-upstream/main.go
@@ -4,13 +4,10 @@
 import (
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/program"
 	"github.com/kingcupknot/kingcupknot/standin"
 )
 
@@ -35,24 +32,14 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "upstream:", err)
-		os.Exit(1)
-	}
+	program.Main("upstream", &o, func() error { return run(o) })
 }
 
 func run(o options) error {
 	if o.Primary == (o.Follow != "") {
 		return fmt.Errorf("give one of --primary and --follow")
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := program.Signals()
 	s, err := standin.Start(standin.Options{
 		Service:  catalog.ServiceID(o.Service),
 		Instance: catalog.InstanceID(o.Instance),
--- a/cmd/kingcupknotd/main.go
+++ b/cmd/kingcupknotd/main.go
@@ -4,26 +4,15 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/daemon"
+	"github.com/kingcupknot/kingcupknot/program"
 	"github.com/kingcupknot/kingcupknot/settings"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 type options struct {
 	Config    string `long:"config" value-name:"FILE" description:"base settings; the embedded ones if left out"`
 	Overlay   string `long:"overlay" value-name:"FILE" description:"settings of the VM's site"`
@@ -33,35 +22,23 @@
 }
 
 func main() {
-	os.Exit(run())
+	var o options
+	program.Main("kingcupknotd", &o, func() error { return run(o) })
 }
 
-func run() int {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var help *flags.Error
-		if errors.As(err, &help) && help.Type == flags.ErrHelp {
-			return exitOK
-		}
-		return exitUsage
-	}
+func run(o options) error {
 	s, err := load(o)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+		return errors.Annotate(err, "settings")
 	}
 	vm, err := s.VM(catalog.VMID(o.VM))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+		return errors.Annotate(err, "settings")
 	}
 	ctx, drain := watchSignals()
-	err = daemon.Run(ctx, daemon.Options{Settings: s, VM: vm, Data: o.Data, Bootstrap: o.Bootstrap}, drain)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "kingcupknotd:", err)
-		return exitFailed
-	}
-	return exitOK
+	return errors.Trace(daemon.Run(ctx, daemon.Options{
+		Settings: s, VM: vm, Data: o.Data, Bootstrap: o.Bootstrap,
+	}, drain))
 }
 
 func load(o options) (*settings.Settings, error) {
@@ -77,8 +54,7 @@
 func watchSignals() (context.Context, <-chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
 	drain := make(chan struct{})
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := program.Signals()
 	go func() {
 		<-signals
 		close(drain)
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -9,6 +9,7 @@
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/token"
 )
 
 const (
@@ -26,19 +27,18 @@
 	// entries.
 	askOnly func(node.Command) node.Reply
 	ready   func() bool
-	extra   map[string]http.HandlerFunc
+	// tokenKey verifies the tokens that operators ask about.
+	tokenKey []byte
 }
 
 func (a *admin) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/announce", a.announce)
 	mux.HandleFunc("POST /v1/command", a.command)
+	mux.HandleFunc("POST /v1/token/inspect", a.inspect)
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /ready", a.readiness)
 	mux.Handle("GET /metrics", a.metrics)
-	for path, h := range a.extra {
-		mux.HandleFunc(path, h)
-	}
 	return mux
 }
 
@@ -50,12 +50,36 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (a *admin) announce(w http.ResponseWriter, r *http.Request) {
-	var said catalog.Announcement
+// inspect decodes a session token and verifies its signature.
+func (a *admin) inspect(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Token string `json:"token"`
+	}
+	if !decode(w, r, "question", &q) {
+		return
+	}
+	t, err := token.Inspect(a.tokenKey, q.Token)
+	if err != nil {
+		http.Error(w, "token: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(t)
+}
+
+// decode reads a request's JSON, or answers with what is wrong with it.
+func decode(w http.ResponseWriter, r *http.Request, what string, v any) bool {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&said); err != nil {
-		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+	if err := d.Decode(v); err != nil {
+		http.Error(w, what+": "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (a *admin) announce(w http.ResponseWriter, r *http.Request) {
+	var said catalog.Announcement
+	if !decode(w, r, "announcement", &said) {
 		return
 	}
 	if text := checkAnnouncement(said); text != "" {
@@ -82,10 +106,7 @@
 
 func (a *admin) command(w http.ResponseWriter, r *http.Request) {
 	var c node.Command
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
-		http.Error(w, "command: "+err.Error(), http.StatusBadRequest)
+	if !decode(w, r, "command", &c) {
 		return
 	}
 	if r.Header.Get(forwarded) != "" && a.askOnly != nil {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -38,7 +38,7 @@
 	a := &admin{
 		feed: s.loop.Feed, metrics: s.metrics.Handler(), ready: func() bool { return true },
 		ask:     askHere(asked, to),
-		askOnly: asked.ask,
+		askOnly: asked.ask, tokenKey: s.options.Settings.Security.TokenKey,
 	}
 	if err := s.connect(a); err != nil {
 		return errors.Trace(err)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -42,7 +42,10 @@
 	defer callers.Close()
 	to := s.newForwarder()
 	ask := func(c node.Command) (node.Reply, bool) { return to.ask(c, "") }
-	a := &admin{feed: s.loop.Feed, metrics: s.metrics.Handler(), ask: ask, ready: ready(drain)}
+	a := &admin{
+		feed: s.loop.Feed, metrics: s.metrics.Handler(), ask: ask, ready: ready(drain),
+		tokenKey: c.Security.TokenKey,
+	}
 	if err := s.connect(a); err != nil {
 		return errors.Trace(err)
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -55,6 +55,7 @@
 	watchAllAt catalog.Instant
 	surveys    uint64
 	followAt   catalog.Instant
+	warmAt     catalog.Instant
 	joinAt     catalog.Instant
 	sweepAt    catalog.Instant
 	seeded     bool
@@ -101,7 +102,7 @@
 	c.proposals = map[quorum.Index]proposal{}
 	c.evidence = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspects = map[catalog.ServiceID]catalog.Instant{}
-	c.watchAllAt = 0
+	c.watchAllAt, c.warmAt = 0, 0
 	c.replacing = nil
 	if c.joins == nil {
 		c.joins = map[catalog.VMID]catalog.Incarnation{}
@@ -233,6 +234,7 @@
 	c.watchSuspects()
 	c.forgetEntries()
 	c.followPrimaries()
+	c.warm()
 	c.finishReplacement()
 }
 
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -57,6 +57,7 @@
 	if u == nil {
 		c.upstreams[a.Instance] = &upstreamView{said: a, heardAt: c.now}
 		c.suspect(a.Service)
+		c.warmUp(c.upstreams[a.Instance])
 		return
 	}
 	if !a.Newer(u.said) {
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -84,6 +84,7 @@
 
 const (
 	watchAllEvery = time.Second
+	warmEvery     = 10 * time.Second
 	suspectedFor  = 3 * time.Second
 )
 
@@ -158,6 +159,30 @@
 
 const evidenceReports = 4
 
+// warm asks upstreams for their position now and then, so that control's own
+// connection to each is open when a failover needs it.
+func (c *Control) warm() {
+	if c.warmAt > c.now {
+		return
+	}
+	c.warmAt = c.now.Add(warmEvery)
+	for _, s := range c.state.Services {
+		for _, u := range c.instancesOf(s.ID) {
+			if c.usable(u) {
+				c.warmUp(u)
+			}
+		}
+	}
+}
+
+func (c *Control) warmUp(u *upstreamView) {
+	c.surveys++
+	c.emit(Survey{
+		Survey: c.surveys, Service: u.said.Service, Instance: u.said.Instance,
+		Address: u.said.Address, Deadline: c.now.Add(c.options.Timings.Suspect),
+	})
+}
+
 // followPrimaries tells upstreams of an older term to follow the primary.
 func (c *Control) followPrimaries() {
 	if c.followAt > c.now {
--- a/token/token.go
+++ b/token/token.go
@@ -36,9 +36,9 @@
 
 // Token says how far a session has seen the history of a service.
 type Token struct {
-	Session  catalog.SessionID `cbor:"1,keyasint"`
-	Service  catalog.ServiceID `cbor:"2,keyasint"`
-	Position catalog.Position  `cbor:"3,keyasint"`
+	Session  catalog.SessionID `cbor:"1,keyasint" json:"session"`
+	Service  catalog.ServiceID `cbor:"2,keyasint" json:"service"`
+	Position catalog.Position  `cbor:"3,keyasint" json:"position"`
 }
 
 // strict refuses what Sign never makes.
@@ -77,6 +77,18 @@
 // Verify reads a token of the service. No token but a signed and whole one
 // gives a position.
 func Verify(key []byte, service catalog.ServiceID, text string) (Token, error) {
+	t, err := Inspect(key, text)
+	if err != nil {
+		return Token{}, err
+	}
+	if t.Service != service {
+		return Token{}, errors.Trace(ErrForeign)
+	}
+	return t, nil
+}
+
+// Inspect reads a token of any service.
+func Inspect(key []byte, text string) (Token, error) {
 	if len(text) > MaxSize {
 		return Token{}, errors.Trace(ErrOversized)
 	}
@@ -96,9 +108,6 @@
 	if err := strict.Unmarshal(body, &t); err != nil {
 		return Token{}, errors.Trace(ErrMalformed)
 	}
-	if t.Service != service {
-		return Token{}, errors.Trace(ErrForeign)
-	}
 	return t, nil
 }
 
