--- a/cmd/kingcupknot-load/main.go
+++ b/cmd/kingcupknot-load/main.go
@@ -23,13 +23,26 @@
 	Browse   float64       `long:"browse" default:"0.5" description:"Share of browsing reads, 0 to 1"`
 	MaxAge   time.Duration `long:"max-age" default:"500ms" description:"Age that browsing reads accept"`
 	Move     bool          `long:"move" description:"Go on at a random entry after each request"`
-	Mode     string        `long:"session-mode" default:"token" choice:"token" choice:"id" choice:"connection" description:"How sessions are told apart"`
+	Mode     mode          `long:"session-mode" default:"token" description:"How sessions are told apart: token, id or connection"`
 	Seed     uint64        `long:"seed" default:"1" description:"Seed of the draws"`
 	User     string        `long:"user" default:"caller" description:"User to connect as"`
 	Password string        `long:"password" description:"Password to connect with"`
 	JSON     bool          `long:"json" description:"Print the line of JSON alone"`
 }
 
+type mode workload.SessionMode
+
+// UnmarshalFlag takes one of the session modes.
+func (m *mode) UnmarshalFlag(text string) error {
+	switch v := workload.SessionMode(text); v {
+	case workload.SessionToken, workload.SessionID, workload.SessionConnection:
+		*m = mode(v)
+		return nil
+	default:
+		return errors.NotValidf("session mode %q", text)
+	}
+}
+
 func main() {
 	var o options
 	program.Main("load", &o, func() error { return run(o) })
