node: take up a replacement that was asked for before

A resend of control replace met a conflict with itself, and a new leader knew nothing of the replacement. Seen on a running set: a data folder removed, the VM back as a learner, a vote again, then the leader killed; changes went on.

--- a/commands/control_replace.go
+++ b/commands/control_replace.go
@@ -14,7 +14,7 @@
 
 type controlReplace struct {
 	desk        *Desk
-	Incarnation catalog.Incarnation `long:"incarnation" required:"yes" value-name:"N" description:"the new incarnation"`
+	Incarnation catalog.Incarnation `long:"incarnation" value-name:"N" description:"the new incarnation; the one that asked to join if left out"`
 	Args        struct {
 		VM catalog.VMID `positional-arg-name:"VM" required:"yes"`
 	} `positional-args:"yes"`
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -156,7 +156,11 @@
 	if r.Incarnation == 0 {
 		r.Incarnation = c.joins[r.VM]
 	}
-	members, found := c.membersWith(quorum.Member{VM: r.VM, Incarnation: r.Incarnation})
+	next := quorum.Member{VM: r.VM, Incarnation: r.Incarnation}
+	if c.resumeReplacement(number, next) {
+		return
+	}
+	members, found := c.membersWith(next)
 	switch {
 	case !found:
 		c.tell(number, Reply{Code: ReplyNotFound, Version: c.state.Version, Text: "No control VM has that name."})
@@ -173,10 +177,45 @@
 		c.tell(number, Reply{Code: ReplyConflict, Version: c.state.Version, RetryAfter: joinEvery, Text: err.Error()})
 		return
 	}
-	c.replacing = &replacement{member: quorum.Member{VM: r.VM, Incarnation: r.Incarnation, Voter: true}, number: number}
+	c.replacing = newReplacement(next, number)
 	c.drive(out)
 }
 
+func newReplacement(m quorum.Member, number uint64) *replacement {
+	m.Voter = true
+	return &replacement{member: m, number: number}
+}
+
+// resumeReplacement takes up a replacement that was asked for before, perhaps
+// from an earlier leader. It reports whether there was one.
+func (c *Control) resumeReplacement(number uint64, next quorum.Member) bool {
+	for _, m := range c.quorum.Members() {
+		if next.Incarnation == 0 || m.VM != next.VM || m.Incarnation != next.Incarnation {
+			continue
+		}
+		switch {
+		case c.replacing != nil && c.replacing.member.VM == next.VM:
+			c.abandonOperator(c.replacing.number)
+			c.replacing.number = number
+		case m.Voter:
+			c.tell(number, Reply{Code: ReplyOK, Version: c.state.Version, Text: replacedText})
+		case c.replacing == nil:
+			c.replacing = newReplacement(next, number)
+		default:
+			return false
+		}
+		return true
+	}
+	return false
+}
+
+// abandonOperator ends a command whose resend takes its place.
+func (c *Control) abandonOperator(number uint64) {
+	c.tell(number, Reply{Code: ReplyUnknown, RetryAfter: joinEvery, Text: "Another command took this one's place."})
+}
+
+const replacedText = "The VM has a vote again. The loss of one more is survivable."
+
 func (c *Control) membersWith(m quorum.Member) ([]quorum.Member, bool) {
 	members := append([]quorum.Member(nil), c.quorum.Members()...)
 	for i := range members {
@@ -201,7 +240,7 @@
 		}
 		if p.Member.Voter && r.voteAt != 0 && c.quorum.Committed() >= r.voteAt {
 			c.replacing = nil
-			c.tell(r.number, Reply{Code: ReplyOK, Version: c.state.Version, Text: "The VM has a vote again. The loss of one more is survivable."})
+			c.tell(r.number, Reply{Code: ReplyOK, Version: c.state.Version, Text: replacedText})
 			return
 		}
 		members, _ := c.membersWith(r.member)
