node: give up reads at a replica that falls silent

A read at a frozen replica waited for its own deadline of seconds, though probes had shown after 200 ms that nobody answers there. It now runs again elsewhere, and the replica gets no new reads until it answers. The script frozen-replica failed before: the read still waited after 400 ms.

--- a/node/entry_fake_test.go
+++ b/node/entry_fake_test.go
@@ -13,7 +13,7 @@
 // fakeUpstream is one upstream of the fake world.
 type fakeUpstream struct {
 	catalog.Announcement
-	down, silent, held bool
+	down, silent, held, frozen bool
 	pause              time.Duration
 	grant              int
 }
@@ -154,6 +154,12 @@
 	}
 	w.probes[c.at.Instance]++
 	role, at := c.at.Role, c.at.Position
+	if c.at.frozen {
+		w.after(v.Deadline.Sub(w.now), func() Input {
+			return ProbeDone{Conn: v.Conn, SentAt: sent, Evidence: wire.EvidenceSilent}
+		})
+		return
+	}
 	w.after(time.Millisecond, func() Input {
 		if w.conns[v.Conn] != c {
 			return nil
@@ -180,7 +186,7 @@
 	}
 	w.ran[v.Request] = string(c.at.Instance)
 	w.began[v.Request] = c.epoch
-	if c.at.held {
+	if c.at.held || c.at.frozen {
 		return
 	}
 	asked := w.now
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -21,6 +21,9 @@
 		i.known, i.isFresh = false, false
 	}
 	if i.service.primary.Instance != i.id {
+		if v == wire.EvidenceSilent {
+			e.leaveSilent(i)
+		}
 		return
 	}
 	e.report.urgent = true
@@ -29,6 +32,17 @@
 	}
 }
 
+// leaveSilent gives up the reads at a replica that stopped answering, so that
+// they run again elsewhere, and sends it no new ones until it answers.
+func (e *Entry) leaveSilent(i *entryInstance) {
+	i.known, i.isFresh = false, false
+	for _, c := range i.conns {
+		if c.state == connBusy && !c.inTransaction && c.request.isRead() {
+			e.closeConn(c)
+		}
+	}
+}
+
 // settleProbe asks an upstream for its role and position when it is time, or
 // at once if requests wait for the answer.
 func (e *Entry) settleProbe(i *entryInstance) {
--- a/node/entry_script_test.go
+++ b/node/entry_script_test.go
@@ -122,6 +122,8 @@
 			u.pause = length(v)
 		case "held":
 			u.held = v == "yes"
+		case "frozen":
+			u.frozen = v == "yes"
 		case "silent":
 			u.silent = v == "yes"
 		case "leaving":
