--- a/listener/run.go
+++ b/listener/run.go
@@ -58,7 +58,10 @@
 		return
 	}
 	start := c.server.options.Now()
-	u.conn.SetDeadline(c.wallTime(c.deadline(r)))
+	u.conn.SetDeadline(time.Time{})
+	if r.settings.Deadline > 0 {
+		u.conn.SetDeadline(c.wallTime(c.deadline(r)))
+	}
 	stop := u.guard()
 	err := u.exchange()
 	if err == nil && u.done.Outcome != node.OutcomeCompleted && u.status != statusIdle {
@@ -133,9 +136,13 @@
 }
 
 // extend lets the run go on past the request's deadline as long as parts of
-// its answer keep coming.
+// its answer keep coming. A request that states no deadline may run as long as
+// its statement takes; the reducer gives the connection up if the upstream is
+// lost.
 func (u *run) extend() {
-	u.conn.SetDeadline(time.Now().Add(u.caller.patience(u.request)))
+	if limit := u.request.settings.Deadline; limit > 0 {
+		u.conn.SetDeadline(time.Now().Add(limit))
+	}
 }
 
 // forget drops what the run gathered for the caller.
--- a/listener/server.go
+++ b/listener/server.go
@@ -41,7 +41,8 @@
 	// MaxMessage bounds a request, and what is held back of its answer.
 	MaxMessage int
 	MaxCallers int
-	// DefaultDeadline is how long a caller waits that states no deadline.
+	// DefaultDeadline is how long a request waits for an upstream if its
+	// caller states no deadline.
 	DefaultDeadline time.Duration
 	Pool            *upstream.Pool
 	Log             logr.Logger
