--- a/node/control.go
+++ b/node/control.go
@@ -37,6 +37,8 @@
 	now     catalog.Instant
 	effects []Effect
 	timer   catalog.Instant
+	// entriesAt counts the entry VMs of each site.
+	entriesAt map[catalog.SiteID]int
 
 	// What follows is the leader's own and is lost with its office.
 
@@ -45,6 +47,14 @@
 	graceEnds catalog.Instant
 	entries   map[catalog.VMID]*entryView
 	upstreams map[catalog.InstanceID]*upstreamView
+	// groups holds the same by service, each in the order of their ids.
+	groups map[catalog.ServiceID][]*upstreamView
+	// subscribers are the entries that serve a service, holders those that
+	// were given a lease and have not given it back.
+	subscribers serviceVMs
+	holders     serviceVMs
+	// loans says who has and wants how many of an upstream's connections.
+	loans     map[catalog.InstanceID]map[catalog.VMID]*loan
 	failovers map[catalog.ServiceID]*failover
 	proposals map[quorum.Index]proposal
 	joins     map[catalog.VMID]catalog.Incarnation
@@ -88,6 +98,10 @@
 		SnapshotAfter: o.SnapshotAfter,
 		Seed:          o.Seed,
 	}, now, o.Saved)
+	c.entriesAt = map[catalog.SiteID]int{}
+	for _, site := range o.Entries {
+		c.entriesAt[site]++
+	}
 	c.leaseHeld = func(until, now catalog.Instant) bool { return now < until }
 	c.enough = c.enoughAnswers
 	c.resetOffice()
@@ -98,6 +112,9 @@
 	c.leading = false
 	c.entries = map[catalog.VMID]*entryView{}
 	c.upstreams = map[catalog.InstanceID]*upstreamView{}
+	c.groups = map[catalog.ServiceID][]*upstreamView{}
+	c.subscribers, c.holders = serviceVMs{}, serviceVMs{}
+	c.loans = map[catalog.InstanceID]map[catalog.VMID]*loan{}
 	c.failovers = map[catalog.ServiceID]*failover{}
 	c.proposals = map[quorum.Index]proposal{}
 	c.evidence = map[catalog.InstanceID]map[catalog.VMID]observation{}
@@ -232,7 +249,6 @@
 func (c *Control) sweep() {
 	c.seed()
 	c.watchSuspects()
-	c.forgetEntries()
 	c.followPrimaries()
 	c.warm()
 	c.finishReplacement()
--- a/node/control_failover.go
+++ b/node/control_failover.go
@@ -113,9 +113,8 @@
 func (c *Control) fence(s catalog.Service, f *failover) {
 	send := f.revokeAt <= c.now
 	held := c.now.Before(c.graceEnds)
-	for _, vm := range c.entryNames() {
-		v := c.entries[vm]
-		l, ok := v.leases[s.ID]
+	for _, vm := range c.holders.names(s.ID) {
+		l, ok := c.entries[vm].leases[s.ID]
 		if !ok || l.epoch > f.epoch || !c.leaseHeld(l.until, c.now) {
 			continue
 		}
@@ -144,6 +143,7 @@
 	}
 	if l, ok := v.leases[m.Service]; ok && l.epoch <= m.Epoch {
 		delete(v.leases, m.Service)
+		c.holders.remove(m.Service, m.VM)
 	}
 	if s, ok := c.state.Service(m.Service); ok {
 		if f := c.failovers[m.Service]; f != nil && f.phase == phaseFence {
--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"sort"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -14,11 +13,19 @@
 	until       catalog.Instant
 }
 
-// outstanding is the most that the entry may hold of an upstream beyond its
-// local share.
-func (v *entryView) outstanding(id catalog.InstanceID, now catalog.Instant) int {
+// loan is what one entry has and wants of one upstream's connections.
+type loan struct {
+	site catalog.SiteID
+	// grants are those that may still be held, the newest first.
+	grants []grantView
+	// want is that of the entry's last report, zero if it names none.
+	want wire.Want
+}
+
+// outstanding is the most that the entry may hold beyond its local share.
+func (l *loan) outstanding(now catalog.Instant) int {
 	most := 0
-	for _, g := range v.grants[id] {
+	for _, g := range l.grants {
 		if now.Before(g.until) {
 			most = max(most, g.connections)
 		}
@@ -27,42 +34,62 @@
 }
 
 // give notes a grant and drops those that it makes needless.
-func (v *entryView) give(id catalog.InstanceID, g grantView, now catalog.Instant) {
+func (l *loan) give(g grantView, now catalog.Instant) {
 	kept := []grantView{g}
-	for _, old := range v.grants[id] {
+	for _, old := range l.grants {
 		if now.Before(old.until) && (old.connections > g.connections || old.until.After(g.until)) {
 			kept = append(kept, old)
 		}
 	}
-	v.grants[id] = kept
+	l.grants = kept
+}
+
+// loan returns an entry's loan of an upstream's connections, a new one if
+// there is none yet.
+func (c *Control) loan(id catalog.InstanceID, vm catalog.VMID, site catalog.SiteID) *loan {
+	of := c.loans[id]
+	if of == nil {
+		of = map[catalog.VMID]*loan{}
+		c.loans[id] = of
+	}
+	l := of[vm]
+	if l == nil {
+		l = &loan{site: site}
+		of[vm] = l
+	}
+	return l
+}
+
+// takeWants replaces what an entry wants by its newest report.
+func (c *Control) takeWants(vm catalog.VMID, v *entryView, list []wire.Want) {
+	for _, w := range v.wants {
+		if l := c.loans[w.Instance][vm]; l != nil {
+			l.want = wire.Want{}
+		}
+	}
+	v.wants = list
+	for _, w := range list {
+		c.loan(w.Instance, vm, v.site).want = w
+	}
 }
 
 // grant decides the entry's connections to each upstream that it asked for.
 func (c *Control) grant(vm catalog.VMID, v *entryView, length time.Duration) []wire.Grant {
 	var out []wire.Grant
-	for _, id := range wantedInstances(v) {
-		w := v.wants[id]
+	for _, w := range v.wants {
+		id := w.Instance
 		u := c.upstreams[id]
 		s, ok := c.state.Service(w.Service)
 		if u == nil || !ok || u.said.Service != w.Service {
 			continue
 		}
 		n := c.share(vm, v, s, u, w)
-		v.give(id, grantView{connections: n, until: v.seenAt.Add(length)}, c.now)
+		c.loan(id, vm, v.site).give(grantView{connections: n, until: v.seenAt.Add(length)}, c.now)
 		out = append(out, wire.Grant{Service: w.Service, Instance: id, Connections: n, Length: length})
 	}
 	return out
 }
 
-func wantedInstances(v *entryView) []catalog.InstanceID {
-	ids := make([]catalog.InstanceID, 0, len(v.wants))
-	for id := range v.wants {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
 // share is the entry's part of an upstream's connections. The sum over all
 // entries of what may be held never passes what can be lent.
 func (c *Control) share(vm catalog.VMID, v *entryView, s catalog.Service, u *upstreamView, w wire.Want) int {
@@ -89,26 +116,21 @@
 // lendable is how many connections of an upstream are not set aside for
 // control or for the entries of its own site.
 func (c *Control) lendable(s catalog.Service, u *upstreamView) int {
-	near := 0
-	for _, site := range c.options.Entries {
-		if site == u.said.Site {
-			near++
-		}
-	}
+	near := c.entriesAt[u.said.Site]
 	return max(s.Limits.Connections-s.Limits.Reserved-near*s.Limits.LocalShare, 0)
 }
 
 // otherGrants sums what other entries may hold, counts those that ask for
 // some, and tells whether one of them wants more than it has.
 func (c *Control) otherGrants(vm catalog.VMID, id catalog.InstanceID, site catalog.SiteID, s catalog.Service) (sum, asking int, starved bool) {
-	for name, v := range c.entries {
+	for name, l := range c.loans[id] {
 		if name == vm {
 			continue
 		}
-		held := v.outstanding(id, c.now)
+		held := l.outstanding(c.now)
 		sum += held
-		wanted := v.wants[id].Wanted
-		if v.site == site {
+		wanted := l.want.Wanted
+		if l.site == site {
 			wanted -= s.Limits.LocalShare
 		}
 		if wanted <= 0 {
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -121,8 +121,8 @@
 
 func (c *Control) upstreamStatus(u *upstreamView) UpstreamStatus {
 	granted := 0
-	for _, v := range c.entries {
-		granted += v.outstanding(u.said.Instance, c.now)
+	for _, l := range c.loans[u.said.Instance] {
+		granted += l.outstanding(c.now)
 	}
 	return UpstreamStatus{
 		Announcement: u.said, Heard: c.now.Sub(u.heardAt),
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -22,9 +23,8 @@
 	services []catalog.ServiceID
 	// leases says until when the entry may acknowledge writes of an epoch.
 	leases map[catalog.ServiceID]leaseView
-	// grants holds what was given for each upstream.
-	grants map[catalog.InstanceID][]grantView
-	wants  map[catalog.InstanceID]wire.Want
+	// wants are those of the last report.
+	wants []wire.Want
 }
 
 type leaseView struct {
@@ -55,14 +55,16 @@
 	}
 	u := c.upstreams[a.Instance]
 	if u == nil {
-		c.upstreams[a.Instance] = &upstreamView{said: a, heardAt: c.now}
-		c.suspect(a.Service)
-		c.warmUp(c.upstreams[a.Instance])
+		c.addUpstream(a)
 		return
 	}
 	if !a.Newer(u.said) {
 		return
 	}
+	if a.Service != u.said.Service {
+		c.emit(Count{Name: "announcements-refused", Delta: 1})
+		return
+	}
 	if u.said.Life == a.Life && u.said.Leaving {
 		a.Leaving = true
 	}
@@ -72,6 +74,30 @@
 	u.said, u.heardAt = a, c.now
 }
 
+func (c *Control) addUpstream(a catalog.Announcement) {
+	u := &upstreamView{said: a, heardAt: c.now}
+	c.upstreams[a.Instance] = u
+	group := append(c.groups[a.Service], u)
+	sort.Slice(group, func(i, j int) bool { return group[i].said.Instance < group[j].said.Instance })
+	c.groups[a.Service] = group
+	c.suspect(a.Service)
+	c.warmUp(u)
+}
+
+// subscribe notes which services an entry serves.
+func (c *Control) subscribe(vm catalog.VMID, v *entryView, services []catalog.ServiceID) {
+	if slices.Equal(v.services, services) {
+		return
+	}
+	for _, id := range v.services {
+		c.subscribers.remove(id, vm)
+	}
+	v.services = services
+	for _, id := range services {
+		c.subscribers.add(id, vm)
+	}
+}
+
 func (c *Control) report(from catalog.VMID, r wire.Report) {
 	site, known := c.options.Entries[from]
 	if !known || r.VM != from {
@@ -89,15 +115,13 @@
 		return
 	}
 	v.life, v.sequence, v.seenAt = r.Life, r.Sequence, c.now
-	v.settings, v.leaving, v.services = r.Settings, r.Leaving, r.Services
+	v.settings, v.leaving = r.Settings, r.Leaving
+	c.subscribe(from, v, r.Services)
 	for _, a := range r.Instances {
 		c.heard(a)
 	}
 	bad := c.observe(from, r.Observations)
-	v.wants = map[catalog.InstanceID]wire.Want{}
-	for _, w := range r.Wants {
-		v.wants[w.Instance] = w
-	}
+	c.takeWants(from, v, r.Wants)
 	if bad {
 		c.watchSuspects()
 	}
@@ -111,7 +135,6 @@
 	v := &entryView{
 		site:   site,
 		leases: map[catalog.ServiceID]leaseView{},
-		grants: map[catalog.InstanceID][]grantView{},
 	}
 	c.entries[vm] = v
 	return v
@@ -146,7 +169,7 @@
 	length := c.leaseLength(v.seenAt)
 	for _, id := range v.services {
 		if _, ok := c.state.Service(id); ok {
-			a.Leases = append(a.Leases, c.lease(v, id, length))
+			a.Leases = append(a.Leases, c.lease(vm, v, id, length))
 		}
 	}
 	if renew && length > 0 && !v.leaving {
@@ -179,7 +202,7 @@
 	return max(length, 0)
 }
 
-func (c *Control) lease(v *entryView, id catalog.ServiceID, length time.Duration) wire.Lease {
+func (c *Control) lease(vm catalog.VMID, v *entryView, id catalog.ServiceID, length time.Duration) wire.Lease {
 	p := c.state.Primary(id)
 	if !p.Ready || c.failovers[id] != nil || v.leaving {
 		return wire.Lease{Primary: p}
@@ -187,6 +210,7 @@
 	until := v.seenAt.Add(length)
 	if held := v.leases[id]; held.epoch < p.Epoch || held.until < until {
 		v.leases[id] = leaseView{epoch: p.Epoch, until: until}
+		c.holders.add(id, vm)
 	}
 	return wire.Lease{Primary: p, Length: length}
 }
@@ -200,33 +224,55 @@
 
 // pushService answers anew the entries that serve a service.
 func (c *Control) pushService(id catalog.ServiceID) {
-	for _, vm := range c.entryNames() {
-		v := c.entries[vm]
-		if slices.Contains(v.services, id) {
-			c.answer(vm, v, false)
-		}
+	for _, vm := range c.subscribers.names(id) {
+		c.answer(vm, c.entries[vm], false)
 	}
 }
 
 func (c *Control) entryNames() []catalog.VMID {
-	names := make([]catalog.VMID, 0, len(c.entries))
-	for vm := range c.entries {
-		names = append(names, vm)
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
+	return slices.Sorted(maps.Keys(c.entries))
 }
 
 // forgetEntries drops entries that are long silent and hold nothing.
 func (c *Control) forgetEntries() {
 	for _, vm := range c.entryNames() {
-		if c.entries[vm].seenAt.Add(forgetAfter).Before(c.now) {
-			delete(c.entries, vm)
-			for _, seen := range c.evidence {
-				delete(seen, vm)
-			}
+		if v := c.entries[vm]; v.seenAt.Add(forgetAfter).Before(c.now) {
+			c.forgetEntry(vm, v)
 		}
 	}
 }
 
+func (c *Control) forgetEntry(vm catalog.VMID, v *entryView) {
+	delete(c.entries, vm)
+	c.subscribe(vm, v, nil)
+	for id := range v.leases {
+		c.holders.remove(id, vm)
+	}
+	for _, seen := range c.evidence {
+		delete(seen, vm)
+	}
+	for _, of := range c.loans {
+		delete(of, vm)
+	}
+}
+
 const forgetAfter = time.Minute
+
+// serviceVMs lists entries by service.
+type serviceVMs map[catalog.ServiceID]map[catalog.VMID]bool
+
+func (m serviceVMs) add(id catalog.ServiceID, vm catalog.VMID) {
+	if m[id] == nil {
+		m[id] = map[catalog.VMID]bool{}
+	}
+	m[id][vm] = true
+}
+
+func (m serviceVMs) remove(id catalog.ServiceID, vm catalog.VMID) {
+	delete(m[id], vm)
+}
+
+// names returns the entries of a service in order.
+func (m serviceVMs) names(id catalog.ServiceID) []catalog.VMID {
+	return slices.Sorted(maps.Keys(m[id]))
+}
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -158,8 +158,8 @@
 			for _, vm := range []catalog.VMID{"e1", "e2", "e3"} {
 				o.report(vm, alive(0))
 			}
-			for _, v := range o.control.entries {
-				sum += v.outstanding("a", o.now)
+			for _, l := range o.control.loans["a"] {
+				sum += l.outstanding(o.now)
 			}
 			So(sum, ShouldBeLessThanOrEqualTo, 18)
 		}
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -56,6 +56,7 @@
 		for _, s := range c.state.Services {
 			c.watchService(s)
 		}
+		c.forgetEntries()
 		return
 	}
 	var ids []catalog.ServiceID
@@ -115,15 +116,9 @@
 	return fresh && !u.said.Leaving && !c.state.IsDrained(u.said.Instance)
 }
 
+// instancesOf lists the upstreams of a service that were heard of, in order.
 func (c *Control) instancesOf(id catalog.ServiceID) []*upstreamView {
-	var out []*upstreamView
-	for _, u := range c.upstreams {
-		if u.said.Service == id {
-			out = append(out, u)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].said.Instance < out[j].said.Instance })
-	return out
+	return c.groups[id]
 }
 
 // primaryGone weighs what the entries saw of a primary. One site alone is not
--- a/node/entry_fake_test.go
+++ b/node/entry_fake_test.go
@@ -14,8 +14,8 @@
 type fakeUpstream struct {
 	catalog.Announcement
 	down, silent, held, frozen bool
-	pause              time.Duration
-	grant              int
+	pause                      time.Duration
+	grant                      int
 }
 
 type fakeConn struct {
