--- /dev/null
+++ b/capacity/fit.go
@@ -0,0 +1,50 @@
+package capacity
+
+// Point is one measurement.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Line is a straight line through measurements.
+type Line struct {
+	Slope     float64 `json:"slope"`
+	Intercept float64 `json:"intercept"`
+	// Fit is the share of the variance that the line explains, 1 at best.
+	Fit float64 `json:"fit"`
+}
+
+// FitLine fits a line by least squares. Without two different X it is flat.
+func FitLine(points []Point) Line {
+	n := float64(len(points))
+	if n == 0 {
+		return Line{}
+	}
+	var sumX, sumY float64
+	for _, p := range points {
+		sumX += p.X
+		sumY += p.Y
+	}
+	meanX, meanY := sumX/n, sumY/n
+	var xx, xy, yy float64
+	for _, p := range points {
+		dx, dy := p.X-meanX, p.Y-meanY
+		xx += dx * dx
+		xy += dx * dy
+		yy += dy * dy
+	}
+	if xx == 0 {
+		return Line{Intercept: meanY}
+	}
+	l := Line{Slope: xy / xx, Fit: 1}
+	l.Intercept = meanY - l.Slope*meanX
+	if yy > 0 {
+		l.Fit = xy * xy / (xx * yy)
+	}
+	return l
+}
+
+// At returns the line's value.
+func (l Line) At(x float64) float64 {
+	return l.Intercept + l.Slope*x
+}
--- /dev/null
+++ b/capacity/meter.go
@@ -0,0 +1,46 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// cpuTime is the processor time that the process has used, collection of
+// garbage included.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// timed returns the processor time of a call.
+func timed(do func()) time.Duration {
+	start := cpuTime()
+	do()
+	return cpuTime() - start
+}
+
+// heapBytes is what the heap holds after a collection.
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// heapOf returns what the heap loses when drop lets go of something.
+func heapOf(drop func()) float64 {
+	before := heapBytes()
+	drop()
+	return before - heapBytes()
+}
+
+// percentOfCore turns processor time over a span of virtual time into the share
+// of a core, in percent.
+func percentOfCore(cpu, span time.Duration) float64 {
+	return 100 * cpu.Seconds() / span.Seconds()
+}
--- /dev/null
+++ b/capacity/names.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"fmt"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// Sites of the system that is measured.
+const sites = 11
+
+// Limits of the services that are measured.
+const (
+	connections = 100
+	slots       = 40
+	localShare  = 2
+)
+
+// terms of the measured groups; large offsets take the room that old logs do.
+const (
+	epoch       = 7
+	term        = 3
+	firstOffset = 1 << 40
+)
+
+func serviceID(n int) catalog.ServiceID {
+	return catalog.ServiceID(fmt.Sprintf("service-%05d", n))
+}
+
+func instanceID(service, n int) catalog.InstanceID {
+	return catalog.InstanceID(fmt.Sprintf("service-%05d-%d", service, n))
+}
+
+func siteID(n int) catalog.SiteID {
+	return catalog.SiteID(fmt.Sprintf("site-%02d", n%sites))
+}
+
+func entryID(n int) catalog.VMID {
+	return catalog.VMID(fmt.Sprintf("entry-%04d", n))
+}
+
+func serviceOf(n, instances int) catalog.Service {
+	return catalog.Service{
+		ID: serviceID(n), Ack: catalog.AckPrimary, Instances: instances,
+		Limits: catalog.Limits{Connections: connections, Reserved: 2, Slots: slots, LocalShare: localShare},
+	}
+}
+
+func servicesOf(n, instances int) []catalog.Service {
+	out := make([]catalog.Service, 0, n)
+	for i := range n {
+		out = append(out, serviceOf(i, instances))
+	}
+	return out
+}
+
+func primaryOf(service int) catalog.Primary {
+	return catalog.Primary{
+		Service: serviceID(service), Epoch: epoch, Instance: instanceID(service, 0), Term: term, Ready: true,
+		Forks: catalog.Forks{{Term: term - 1, At: firstOffset}, {Term: term, At: firstOffset + 1}},
+	}
+}
+
+func roleOf(instance int) catalog.Role {
+	if instance == 0 {
+		return catalog.RolePrimary
+	}
+	return catalog.RoleReplica
+}
+
+// announcementOf is what an instance says; instance n stands n sites after
+// that of its service.
+func announcementOf(service, instance int, sequence uint64) catalog.Announcement {
+	return catalog.Announcement{
+		Service: serviceID(service), Instance: instanceID(service, instance),
+		Address: fmt.Sprintf("10.%d.%d.%d:5432", instance, service>>8, service&0xff),
+		Site:    siteID(instance), Role: roleOf(instance),
+		Position: catalog.Position{Term: term, Offset: firstOffset + catalog.Offset(sequence)},
+		Life:     1 << 40, Sequence: sequence,
+	}
+}
