capacity: measure agreement, codec and callers, derive the figures

kingcupknot-slopes prints slopes and what they give at the size of the plan, and derives the figures again from a written report, so that the page can be checked.

--- /dev/null
+++ b/capacity/caller.go
@@ -0,0 +1,123 @@
+package capacity
+
+import (
+	"net"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/listener"
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/upstream"
+)
+
+const callerWait = 10 * time.Second
+
+// callerRows measures what callers that are connected and idle hold in the
+// listener, stacks included. The other ends hold next to nothing but a socket.
+func (p Plan) callerRows(rows *Rows) error {
+	s := series{rows, "listener", "idle callers", "no TLS, trusted callers, their sockets in the same process"}
+	for _, n := range p.pick([]int{100, 400, 1600}, []int{50, 100, 200}) {
+		held, err := callersHold(n)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		s.add("heap and stacks", "bytes", float64(n), held)
+	}
+	return nil
+}
+
+// callersHold connects callers and returns what they hold.
+func callersHold(n int) (float64, error) {
+	start := time.Now()
+	now := func() catalog.Instant { return catalog.Instant(time.Since(start)) }
+	feed := func(node.Input) {}
+	pool := upstream.NewPool(upstream.Options{
+		Feed: feed, Now: now, Statements: catalog.DefaultStatements(), Log: logr.Discard(),
+	})
+	defer pool.Shut()
+	server, err := listener.New(listener.Options{
+		Address: "127.0.0.1:0", Feed: feed, Now: now, TokenKey: []byte("measured key"), Pool: pool, Log: logr.Discard(),
+	})
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer server.Close()
+	var ended atomic.Bool
+	go func() {
+		_ = server.Serve()
+		ended.Store(true)
+	}()
+	before := memoryInUse()
+	conns := make([]net.Conn, 0, n)
+	defer func() {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}()
+	for i := range n {
+		c, err := connect(server.Addr().String())
+		if err != nil {
+			return 0, errors.Annotatef(err, "caller %d", i)
+		}
+		conns = append(conns, c)
+	}
+	held := memoryInUse() - before
+	if ended.Load() {
+		return 0, errors.New("the listener ended")
+	}
+	return held, nil
+}
+
+// memoryInUse is the heap and the stacks after a collection.
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// connect makes one caller's connection that is ready for statements.
+func connect(address string) (net.Conn, error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := startUp(c); err != nil {
+		_ = c.Close()
+		return nil, errors.Trace(err)
+	}
+	return c, nil
+}
+
+func startUp(c net.Conn) error {
+	if err := c.SetDeadline(time.Now().Add(callerWait)); err != nil {
+		return errors.Trace(err)
+	}
+	f := pgproto3.NewFrontend(c, c)
+	f.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersionNumber,
+		Parameters:      map[string]string{"user": "measured", "database": string(serviceID(0))},
+	})
+	if err := f.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		switch v := m.(type) {
+		case *pgproto3.ReadyForQuery:
+			return nil
+		case *pgproto3.ErrorResponse:
+			return errors.Errorf("the listener refused: %s", v.Message)
+		}
+	}
+}
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -1,11 +1,16 @@
 package capacity
 
 import (
+	"bytes"
+	"encoding/json"
+	"os"
 	"reflect"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/kingcupknot/kingcupknot/node"
 )
 
 func TestFitLine(t *testing.T) {
@@ -57,3 +62,58 @@
 		So(same, ShouldBeTrue)
 	})
 }
+
+func TestControlRunRepeats(t *testing.T) {
+	Convey("the same load gives the same messages in a change of primary", t, func() {
+		var sent [2][]node.SendPeer
+		for i := range sent {
+			r, err := newControlRun(controlLoad{Entries: 4, Services: 3, Instances: 3})
+			So(err, ShouldBeNil)
+			r.announce(2)
+			for n := range r.load.Entries {
+				r.report(n)
+			}
+			r.clear()
+			r.fail()
+			So(r.promoted, ShouldEqual, 1)
+			sent[i] = r.sent
+		}
+		So(sent[0], ShouldResemble, sent[1])
+	})
+}
+
+func TestAgreementRunRepeats(t *testing.T) {
+	Convey("the same records give the same bytes, and all are committed", t, func() {
+		var runs [2]*agreementRun
+		for i := range runs {
+			runs[i] = newAgreementRun(members)
+			runs[i].run(groupStart)
+			runs[i].committed = 0
+			So(runs[i].propose(20), ShouldBeNil)
+			So(runs[i].committed, ShouldEqual, 20)
+		}
+		So(runs[0].bytes, ShouldEqual, runs[1].bytes)
+		So(runs[0].logBytes, ShouldEqual, runs[1].logBytes)
+	})
+}
+
+func TestFiguresFollowFromRows(t *testing.T) {
+	Convey("the figures of the committed report follow from its rows", t, func() {
+		data, err := os.ReadFile("../docs/measurements/slopes.json")
+		So(err, ShouldBeNil)
+		var said Report
+		So(json.Unmarshal(data, &said), ShouldBeNil)
+		derived, err := ReadReport(bytes.NewReader(data))
+		So(err, ShouldBeNil)
+		So(derived.Figures, ShouldNotBeEmpty)
+		So(derived.Figures, ShouldResemble, said.Figures)
+		for _, r := range said.Rows {
+			So(len(r.Points), ShouldBeGreaterThanOrEqualTo, 3)
+			So(r.Line, ShouldResemble, FitLine(r.Points))
+		}
+	})
+	Convey("a report that lacks rows is refused", t, func() {
+		_, err := Derive(nil, DesignSize())
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/capacity/control_series.go
+++ b/capacity/control_series.go
@@ -61,6 +61,7 @@
 	// One second has each of the sweeps.
 	used := timed(func() { r.advance(time.Second) })
 	s.add("sweeps", "µs per s", x, micros(used))
+	s.add("sweeps per one of them", "µs per s", x, micros(used)/x)
 	r.clear()
 	used = timed(r.create)
 	s.add("change", "µs", x, micros(used))
--- /dev/null
+++ b/capacity/report.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Report is what a run gives.
+type Report struct {
+	Date    string   `json:"date"`
+	Cores   int      `json:"cores"`
+	Go      string   `json:"go"`
+	Quick   bool     `json:"quick"`
+	Rows    []Row    `json:"rows"`
+	Figures []Figure `json:"figures"`
+}
+
+// Measure runs all measurements on one processor, so that collections of
+// garbage don't spread over idle ones, and derives the figures.
+func Measure(p Plan, now time.Time) (Report, error) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var rows Rows
+	steps := []func(*Rows) error{
+		p.callerRows, p.entryRows, p.controlRows, p.agreementRows,
+		p.heartbeatRows, p.snapshotRows, p.codecRows, p.probeRows,
+	}
+	for _, s := range steps {
+		if err := s(&rows); err != nil {
+			return Report{}, errors.Trace(err)
+		}
+	}
+	out := Report{
+		Date: now.UTC().Format(time.RFC3339), Cores: runtime.NumCPU(), Go: runtime.Version(),
+		Quick: p.Quick, Rows: rows.List(),
+	}
+	figures, err := Derive(out.Rows, DesignSize())
+	out.Figures = figures
+	return out, errors.Trace(err)
+}
+
+// ReadReport reads what WriteJSON wrote and derives its figures anew.
+func ReadReport(r io.Reader) (Report, error) {
+	var out Report
+	if err := json.NewDecoder(r).Decode(&out); err != nil {
+		return out, errors.Annotate(err, "report")
+	}
+	figures, err := Derive(out.Rows, DesignSize())
+	out.Figures = figures
+	return out, errors.Trace(err)
+}
+
+// WriteJSON writes the report as JSON.
+func (r Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return errors.Annotate(e.Encode(r), "report")
+}
+
+// WriteText writes the report as tables.
+func (r Report) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "measured %s, %d cores, %s, quick %t\n\n", r.Date, r.Cores, r.Go, r.Quick)
+	fmt.Fprintln(t, "role\tquantity\tunit\tagainst\tslope\tintercept\tfit\tpoints\twith")
+	for _, x := range r.Rows {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%.4g\t%.4g\t%.3f\t", x.Role, x.Quantity, x.Unit, x.Variable, x.Slope, x.Intercept, x.Fit)
+		for _, p := range x.Points {
+			fmt.Fprintf(t, "%.4g:%.4g ", p.X, p.Y)
+		}
+		fmt.Fprintf(t, "\t%s\n", x.Fixed)
+	}
+	fmt.Fprintln(t, "\nfigure\tvalue\tunit\tlimit\tverdict\tformula")
+	for _, f := range r.Figures {
+		limit := "-"
+		if f.Limit > 0 {
+			limit = fmt.Sprintf("%.4g", f.Limit)
+		}
+		fmt.Fprintf(t, "%s\t%.4g\t%s\t%s\t%s\t%s\n", f.Name, f.Value, f.Unit, limit, f.Verdict(), f.Formula)
+	}
+	return errors.Annotate(t.Flush(), "report")
+}
--- /dev/null
+++ b/capacity/state.go
@@ -0,0 +1,124 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/link"
+	"github.com/kingcupknot/kingcupknot/registry"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// snapshotRows measures the agreed state and its changes.
+func (p Plan) snapshotRows(rows *Rows) error {
+	s := series{rows, "agreement", "services", fmt.Sprintf("%d results kept", registry.KeptChanges)}
+	for _, n := range p.pick([]int{30, 300, 3000, 19000}, []int{30, 300, 3000}) {
+		state := stateOf(n, someInstances)
+		for i := range registry.KeptChanges {
+			state.Results = append(state.Results, registry.Result{
+				ID: catalog.ChangeID(fmt.Sprintf("change-%032d", i)), Code: registry.CodeOK, Version: 1,
+				Text: fmt.Sprintf("service %s created", serviceID(i)), Digest: 1 << 60,
+			})
+		}
+		var data []byte
+		var err error
+		s.add("snapshot", "µs", float64(n), micros(timed(func() { data, err = state.Snapshot() })))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		s.add("snapshot", "bytes", float64(n), float64(len(data)))
+		var again *registry.State
+		s.add("restore", "µs", float64(n), micros(timed(func() { again, err = registry.Restore(data) })))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		c := registry.Change{ID: "measured-change", Create: &registry.CreateService{Service: serviceOf(n, someInstances)}}
+		s.add("apply", "µs", float64(n), micros(timed(func() { again.Apply(c) })))
+		whole := wire.Message{Answer: &wire.Answer{Leader: controlVM, Version: 1, Settings: state.Services, Whole: true}}
+		frame, err := link.Encode(whole)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		s.add("whole settings", "bytes", float64(n), float64(len(frame)))
+	}
+	return nil
+}
+
+// codecRows measures the codec on answers of growing size.
+func (p Plan) codecRows(rows *Rows) error {
+	s := series{rows, "codec", "bytes of a frame", "answers with leases"}
+	for _, n := range []int{3, 30, 300} {
+		a := &wire.Answer{Leader: controlVM, Sequence: 1 << 40, Version: 1}
+		for i := range n {
+			a.Leases = append(a.Leases, wire.Lease{Primary: primaryOf(i), Length: time.Second})
+		}
+		m := wire.Message{Answer: a}
+		data, err := link.Encode(m)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		const times = 300
+		x := float64(len(data))
+		s.add("encode", "µs", x, micros(timed(func() { repeat(times, func() { _, err = link.Encode(m) }) }))/times)
+		s.add("decode", "µs", x, micros(timed(func() { repeat(times, func() { _, err = link.Decode(data) }) }))/times)
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// probeRows measures the frames of one probe as it is sent, as text, and as a
+// prepared statement would be.
+func (p Plan) probeRows(rows *Rows) error {
+	s := series{rows, "probe", "probes", "the statement of DefaultStatements"}
+	text, err := frames(&pgproto3.Query{String: catalog.DefaultStatements().Status})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	prepared, err := frames(&pgproto3.Bind{PreparedStatement: "status"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	answer, err := frames(
+		&pgproto3.BindComplete{},
+		&pgproto3.DataRow{Values: [][]byte{[]byte("f"), []byte("3"), []byte("1099511627776")}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
+	)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for n := 1; n <= 3; n++ {
+		s.add("question as text", "bytes", float64(n), float64(n*text))
+		s.add("question prepared", "bytes", float64(n), float64(n*prepared))
+		s.add("answer", "bytes", float64(n), float64(n*answer))
+	}
+	return nil
+}
+
+// encoder is a message of the PostgreSQL protocol.
+type encoder interface {
+	Encode(dst []byte) ([]byte, error)
+}
+
+// frames returns the length of the messages.
+func frames(list ...encoder) (int, error) {
+	var data []byte
+	for _, m := range list {
+		var err error
+		if data, err = m.Encode(data); err != nil {
+			return 0, errors.Trace(err)
+		}
+	}
+	return len(data), nil
+}
+
+func repeat(n int, do func()) {
+	for range n {
+		do()
+	}
+}
--- /dev/null
+++ b/cmd/kingcupknot-slopes/main.go
@@ -0,0 +1,79 @@
+// Kingcupknot-slopes measures what each role costs as the system grows.
+package main
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/capacity"
+)
+
+type options struct {
+	Quick bool   `long:"quick" description:"Measure fewer and smaller points."`
+	JSON  string `long:"json" value-name:"FILE" description:"Write the report as JSON."`
+	Text  string `long:"text" value-name:"FILE" description:"Write the tables to a file, too."`
+	From  string `long:"from" value-name:"FILE" description:"Derive the figures from a report instead of measuring."`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(o, os.Stdout); err != nil {
+		_, _ = os.Stderr.WriteString("slopes: " + err.Error() + "\n")
+		os.Exit(1)
+	}
+}
+
+func run(o options, out io.Writer) error {
+	r, err := report(o)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := r.WriteText(out); err != nil {
+		return errors.Trace(err)
+	}
+	if o.JSON != "" {
+		if err := write(o.JSON, r.WriteJSON); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if o.Text != "" {
+		return errors.Trace(write(o.Text, r.WriteText))
+	}
+	return nil
+}
+
+func report(o options) (capacity.Report, error) {
+	if o.From == "" {
+		r, err := capacity.Measure(capacity.Plan{Quick: o.Quick}, time.Now())
+		return r, errors.Trace(err)
+	}
+	f, err := os.Open(o.From)
+	if err != nil {
+		return capacity.Report{}, errors.Trace(err)
+	}
+	defer f.Close()
+	r, err := capacity.ReadReport(f)
+	return r, errors.Trace(err)
+}
+
+func write(name string, do func(io.Writer) error) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := do(f); err != nil {
+		f.Close()
+		return errors.Trace(err)
+	}
+	return errors.Trace(f.Close())
+}
