capacity: time each call of the control leader three times

Between runs of one build the processor slopes of control differed by up to 2.3 times on a machine that others use too.

--- a/capacity/control.go
+++ b/capacity/control.go
@@ -199,11 +199,13 @@
 	return out
 }
 
-// create sends an operator's change of configuration.
+// create sends an operator's change of configuration, a new one each time.
 func (r *controlRun) create() {
-	s := serviceOf(r.load.Services, r.load.Instances)
-	r.feed(node.OperatorAsked{Number: 1, Command: node.Command{
-		Change: "measured-change", Create: &node.CreateService{Service: s},
+	r.clear()
+	n := len(r.replies)
+	s := serviceOf(r.load.Services+n, r.load.Instances)
+	r.feed(node.OperatorAsked{Number: uint64(n) + 1, Command: node.Command{
+		Change: catalog.ChangeID(s.ID), Create: &node.CreateService{Service: s},
 	}})
 }
 
--- a/capacity/control_series.go
+++ b/capacity/control_series.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/kingcupknot/kingcupknot/node"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -59,14 +60,18 @@
 		return errors.Trace(err)
 	}
 	// One second has each of the sweeps.
-	used := timed(func() { r.advance(time.Second) })
+	used := quickest(func() { r.advance(time.Second) })
 	s.add("sweeps", "µs per s", x, micros(used))
 	s.add("sweeps per one of them", "µs per s", x, micros(used)/x)
-	r.clear()
-	used = timed(r.create)
+	used = quickest(r.create)
 	s.add("change", "µs", x, micros(used))
-	if len(r.replies) != 1 || r.replies[0].Code != "ok" {
-		return errors.Errorf("the change was not accepted: %v", r.replies)
+	for _, v := range r.replies {
+		if v.Code != node.ReplyOK {
+			return errors.Errorf("a change was not accepted: %s", v.Text)
+		}
+	}
+	if len(r.replies) != timedRuns {
+		return errors.Errorf("%d of %d changes were answered", len(r.replies), timedRuns)
 	}
 	size, err := r.bytesSent()
 	if err != nil {
@@ -80,13 +85,19 @@
 }
 
 func reportCosts(s series, x float64, r *controlRun) error {
-	r.clear()
-	var messages []wire.Message
 	n := min(sampled, r.load.Entries)
-	for i := range n {
-		messages = append(messages, r.reportOf(i, wire.EvidenceAlive))
+	used := time.Duration(0)
+	for i := range timedRuns {
+		r.clear()
+		var messages []wire.Message
+		for k := range n {
+			messages = append(messages, r.reportOf(k, wire.EvidenceAlive))
+		}
+		took := timed(func() { r.feedReports(messages) })
+		if i == 0 || took < used {
+			used = took
+		}
 	}
-	used := timed(func() { r.feedReports(messages) })
 	size, err := r.bytesSent()
 	if err != nil {
 		return errors.Trace(err)
@@ -119,16 +130,23 @@
 // failoverCosts adds what one change of primary costs the leader. The
 // processor time divided by the entries shows the walks over all of them.
 func failoverCosts(s series, x float64, l controlLoad) error {
-	r, err := newControlRun(l)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	r.announce(2)
-	for n := range l.Entries {
-		r.report(n)
+	var r *controlRun
+	used := time.Duration(0)
+	for i := range timedRuns {
+		var err error
+		if r, err = newControlRun(l); err != nil {
+			return errors.Trace(err)
+		}
+		r.announce(2)
+		for n := range l.Entries {
+			r.report(n)
+		}
+		r.clear()
+		took := timed(r.fail)
+		if i == 0 || took < used {
+			used = took
+		}
 	}
-	r.clear()
-	used := timed(r.fail)
 	if r.promoted != 1 {
 		return errors.Errorf("the change of primary promoted %d instances", r.promoted)
 	}
--- a/capacity/derive_control.go
+++ b/capacity/derive_control.go
@@ -88,8 +88,8 @@
 	d.note("site lost: changes of primary", lost, "changes", 0, "databases / sites")
 	d.note("site lost: failover steps, walks over entries", line.At(nodes)*z.Subscribers*lost/1e6, "s", primaryRest,
 		"failover per entry(nodes / regions) x subscribers x databases / sites")
-	d.note("site lost: failover steps, walks over subscribers", line.At(z.Subscribers)*z.Subscribers*lost/1e6, "s", primaryRest,
-		"failover per entry(subscribers) x subscribers x databases / sites")
+	d.note("site lost: failover steps, walks over subscribers", line.first()*z.Subscribers*lost/1e6, "s", primaryRest,
+		"failover per entry as measured at 8 x subscribers x databases / sites")
 	d.note("site lost: agreement", d.line("agreement", "processor", "µs", "records", "").Slope*2*lost/1e6, "s", primaryRest,
 		"processor per record x 2 x databases / sites")
 	callers := z.Connections / (z.Nodes * (z.Sites - 1) / z.Sites)
--- a/capacity/entry_effect.go
+++ b/capacity/entry_effect.go
@@ -9,7 +9,7 @@
 )
 
 // replays is how often a recording is timed; the quickest counts.
-const replays = 2
+const replays = 3
 
 // effect plays the shell.
 func (r *entryRun) effect(x node.Effect) {
--- a/capacity/meter.go
+++ b/capacity/meter.go
@@ -23,6 +23,19 @@
 	return cpuTime() - start
 }
 
+// timedRuns is how often a call is timed whose time is small or easily
+// disturbed.
+const timedRuns = 3
+
+// quickest returns the least processor time of several calls.
+func quickest(do func()) time.Duration {
+	best := timed(do)
+	for range timedRuns - 1 {
+		best = min(best, timed(do))
+	}
+	return best
+}
+
 // heapBytes is what the heap holds after a collection.
 func heapBytes() float64 {
 	runtime.GC()
--- a/capacity/state.go
+++ b/capacity/state.go
@@ -26,13 +26,13 @@
 		}
 		var data []byte
 		var err error
-		s.add("snapshot", "µs", float64(n), micros(timed(func() { data, err = state.Snapshot() })))
+		s.add("snapshot", "µs", float64(n), micros(quickest(func() { data, err = state.Snapshot() })))
 		if err != nil {
 			return errors.Trace(err)
 		}
 		s.add("snapshot", "bytes", float64(n), float64(len(data)))
 		var again *registry.State
-		s.add("restore", "µs", float64(n), micros(timed(func() { again, err = registry.Restore(data) })))
+		s.add("restore", "µs", float64(n), micros(quickest(func() { again, err = registry.Restore(data) })))
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -63,8 +63,8 @@
 		}
 		const times = 300
 		x := float64(len(data))
-		s.add("encode", "µs", x, micros(timed(func() { repeat(times, func() { _, err = link.Encode(m) }) }))/times)
-		s.add("decode", "µs", x, micros(timed(func() { repeat(times, func() { _, err = link.Decode(data) }) }))/times)
+		s.add("encode", "µs", x, micros(quickest(func() { repeat(times, func() { _, err = link.Encode(m) }) }))/times)
+		s.add("decode", "µs", x, micros(quickest(func() { repeat(times, func() { _, err = link.Decode(data) }) }))/times)
 		if err != nil {
 			return errors.Trace(err)
 		}
