node: settle only services that an event or a deadline concerns

Entry.Step brought every service up to date at every event, so the cost of a request grew with the services known. A service is now settled if an event touched it or its earliest deadline has come; deadlines lie in a heap by instant and id.

The instant at which a queue becomes hopeless, the end of a pause and the silence of an upstream had no wake of their own; they have one now.

--- a/node/entry.go
+++ b/node/entry.go
@@ -52,7 +52,8 @@
 	nextConn catalog.ConnID
 	requests map[catalog.RequestID]*entryRequest
 
-	report entryReports
+	report   entryReports
+	schedule entrySchedule
 	// timerAt is the instant last asked for, zero if none is pending.
 	timerAt catalog.Instant
 	// wakeAt collects the earliest deadline during a step, zero if none.
@@ -156,30 +157,44 @@
 	}
 }
 
-// settle brings everything up to date with the clock: what ran out is given
+// settle brings what an event or a deadline concerns up to date with the clock: what ran out is given
 // up first, then waiting work is placed, then connections, probes, reports.
 func (e *Entry) settle() {
-	e.wakeAt = 0
-	for _, id := range e.order {
-		s := e.services[id]
-		e.settleLease(s)
-		for _, i := range s.instances {
-			e.trim(i)
-			e.giveUp(i)
-			i.short = 0
-		}
-		e.settleReplication(s)
-		e.dispatch(s)
-		for _, i := range s.instances {
-			e.settleProbe(i)
-			e.settleConns(i)
-		}
+	for _, s := range e.due() {
+		e.wakeAt = 0
+		e.settleService(s)
+		e.wakeService(s, e.wakeAt)
 	}
+	e.wakeAt = e.firstWake()
 	e.settleDrain()
 	e.settleReport()
 	e.settleTimer()
 }
 
+// settleService may skip a service until its next event or deadline, so what
+// hangs on time in it must ask for a wake.
+func (e *Entry) settleService(s *entryService) {
+	e.settleLease(s)
+	e.forget(s)
+	for _, i := range s.instances {
+		e.trim(i)
+		e.giveUp(i)
+		i.short = 0
+	}
+	e.settleReplication(s)
+	e.dispatch(s)
+	for _, i := range s.instances {
+		e.settleProbe(i)
+		e.settleConns(i)
+		if i.pausedUntil.After(e.now) {
+			e.wake(i.pausedUntil)
+		}
+	}
+	if len(s.running) > 0 || s.waitingCount() > 0 {
+		e.wake(e.now.Add(e.options.Timings.Report))
+	}
+}
+
 // wake asks for a step at or soon after an instant.
 func (e *Entry) wake(at catalog.Instant) {
 	if e.wakeAt == 0 || at.Before(e.wakeAt) {
--- a/node/entry_bench_test.go
+++ b/node/entry_bench_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -35,3 +36,48 @@
 		b.Fatalf("%d requests are left", len(e.requests))
 	}
 }
+
+// BenchmarkEntryServices measures the events of one read at an entry that
+// knows more and more services, of which one has callers.
+func BenchmarkEntryServices(b *testing.B) {
+	for _, services := range []int{3, 30, 300} {
+		b.Run(strconv.Itoa(services), func(b *testing.B) {
+			w := newSizeWorld(services, nil)
+			w.run(2 * time.Second)
+			e, now := w.entry, w.now
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				id := catalog.RequestID(n + 1)
+				read := RequestArrived{Request: id, Service: sizeName(0), Class: ClassNormal, Deadline: now.Add(time.Second)}
+				for _, x := range e.Step(Event{Now: now, Input: read}) {
+					if run, ok := x.(RunRequest); ok {
+						e.Step(Event{Now: now, Input: RequestDone{Request: id, Conn: run.Conn, Reusable: true}})
+					}
+				}
+			}
+			if len(e.requests) > 0 {
+				b.Fatalf("%d requests are left", len(e.requests))
+			}
+		})
+	}
+}
+
+// BenchmarkEntryReports measures an idle entry's second: bytes that leave and
+// the processor time that the steps take.
+func BenchmarkEntryReports(b *testing.B) {
+	for _, services := range []int{3, 30, 300} {
+		b.Run(strconv.Itoa(services), func(b *testing.B) {
+			w := newSizeWorld(services, nil)
+			w.run(3 * time.Second)
+			w.reported, w.relayed = 0, 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				w.run(time.Second)
+			}
+			b.ReportMetric(float64(w.reported)/float64(b.N), "report-B/s")
+			b.ReportMetric(float64(w.relayed)/float64(b.N), "relay-B/s")
+		})
+	}
+}
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -144,6 +144,7 @@
 		return
 	}
 	i := c.instance
+	e.touch(i.service)
 	i.backoff, i.openAfter = 0, e.now
 	e.seeAlive(i)
 	if c.state == connOpening {
@@ -157,6 +158,7 @@
 		return
 	}
 	i := c.instance
+	e.touch(i.service)
 	delete(e.conns, v.Conn)
 	for n, x := range i.conns {
 		if x == c {
@@ -264,6 +266,7 @@
 	keep := 1
 	if e.inUse(i.service) {
 		keep = 2
+		e.wake(i.service.used.Add(usedBound))
 	}
 	for k := len(i.conns) - 1; k >= 0 && i.open() > keep; k-- {
 		c := i.conns[k]
--- a/node/entry_drain.go
+++ b/node/entry_drain.go
@@ -7,6 +7,7 @@
 	e.leaving = true
 	e.leaveBy = e.now.Add(e.options.Timings.Drain)
 	e.report.urgent = true
+	e.touchAll()
 	e.emit(Log{Part: "entry", Text: "Draining."})
 }
 
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -17,7 +17,7 @@
 		i = s.addInstance(a.Instance)
 	}
 	if direct && (i.direct.Instance == "" || a.Newer(i.direct)) {
-		i.direct, i.pending, i.includedIn = a, true, 0
+		e.tell(i, a)
 	}
 	if !isNew && !a.Newer(i.announcement) {
 		return
@@ -40,6 +40,14 @@
 	}
 }
 
+// tell has control hear an announcement with the next reports.
+func (e *Entry) tell(i *entryInstance, a catalog.Announcement) {
+	if !i.pending {
+		e.report.pending = append(e.report.pending, i)
+	}
+	i.direct, i.pending, i.includedIn = a, true, 0
+}
+
 // restart forgets what was known of an earlier life of the upstream, which may
 // have come back with less than it had.
 func (e *Entry) restart(i *entryInstance) {
@@ -76,6 +84,9 @@
 		if replaced || (silent && r.Kind == KindRead) {
 			e.closeConn(c)
 		}
+		if end := i.alive.Add(e.options.Timings.Suspect + 1); end.After(e.now) {
+			e.wake(end)
+		}
 	}
 }
 
@@ -85,8 +96,13 @@
 	for _, i := range s.instances {
 		gone := e.now.Sub(i.heard) > usedBound && i.id != s.primary.Instance &&
 			len(i.conns) == 0 && i.running == 0
-		if !gone {
-			kept = append(kept, i)
+		if gone {
+			i.pending = false
+			continue
+		}
+		kept = append(kept, i)
+		if end := i.heard.Add(usedBound + 1); end.After(e.now) {
+			e.wake(end)
 		}
 	}
 	s.instances = kept
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -110,6 +110,7 @@
 		return
 	}
 	i := c.instance
+	e.touch(i.service)
 	i.probeConn = 0
 	if c.state == connClosing && v.Evidence != wire.EvidenceAlive {
 		return
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -79,8 +79,8 @@
 // hopeless reports whether a request with n ahead of it would miss its
 // deadline.
 func (e *Entry) hopeless(r *entryRequest, n int) bool {
-	if e.now.Add(r.service.waitFor(n)).Before(r.Deadline) {
-		e.wake(r.Deadline.Add(-r.service.serve))
+	if wait := r.service.waitFor(n); e.now.Add(wait).Before(r.Deadline) {
+		e.wake(r.Deadline.Add(-wait))
 		return false
 	}
 	return true
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -31,6 +31,8 @@
 	wasSent    bool
 	next       catalog.Instant
 	urgent     bool
+	// pending are the instances whose announcement control has to hear.
+	pending []*entryInstance
 }
 
 // newEntryReports starts the sequence at a number drawn from the life, so that
@@ -99,7 +101,6 @@
 		if s.accepted {
 			m.Services = append(m.Services, id)
 		}
-		e.forget(s)
 		for _, i := range s.instances {
 			e.reportInstance(m, s, i)
 		}
@@ -120,6 +121,7 @@
 	if e.observes(s.id) {
 		m.Observations = append(m.Observations, e.observation(i))
 	}
+	e.noteDemand(i)
 	wanted := e.wanted(i)
 	i.wantedTold = wanted
 	if wanted > 0 || len(i.conns) > 0 {
@@ -192,13 +194,15 @@
 }
 
 func (e *Entry) markReported(sequence uint64) {
-	for _, id := range e.order {
-		for _, i := range e.services[id].instances {
-			if i.pending && i.includedIn != 0 && i.includedIn <= sequence {
-				i.pending = false
-			}
+	kept := e.report.pending[:0]
+	for _, i := range e.report.pending {
+		if !i.pending || (i.includedIn != 0 && i.includedIn <= sequence) {
+			i.pending = false
+			continue
 		}
+		kept = append(kept, i)
 	}
+	e.report.pending = kept
 }
 
 // cutOff reports whether control has been silent for so long that no lease is
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -19,6 +19,7 @@
 		e.refuse(r, "the service is not in the accepted configuration", e.unknownRetry())
 		return
 	}
+	e.touch(s)
 	s.used, s.wasUsed = e.now, true
 	s.tokens = min(s.tokens+retryShare, retryBurst)
 	e.count("requests")
@@ -63,6 +64,7 @@
 		return
 	}
 	s := r.service
+	e.touch(s)
 	s.waiting[r.Class] = without(s.waiting[r.Class], r)
 	s.replicating = without(s.replicating, r)
 	delete(e.requests, r.Request)
@@ -71,6 +73,7 @@
 func (e *Entry) takeDropped(v TransactionDropped) {
 	if c := e.conns[v.Conn]; c != nil {
 		c.state = connClosing
+		e.touch(c.instance.service)
 	}
 }
 
@@ -107,6 +110,7 @@
 		return
 	}
 	i := r.instance
+	e.touch(r.service)
 	i.running--
 	r.conn = 0
 	r.service.running = without(r.service.running, r)
--- /dev/null
+++ b/node/entry_schedule.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// entrySchedule says which services a step has to bring up to date: those that
+// its event touched and those whose deadline has come.
+type entrySchedule struct {
+	touched []*entryService
+	// batch holds the services that are being settled.
+	batch []*entryService
+	wakes serviceWakes
+}
+
+// serviceWakes is a heap of the services that have a deadline, by deadline and
+// then by id.
+type serviceWakes []*entryService
+
+func (w serviceWakes) Len() int { return len(w) }
+func (w serviceWakes) Less(a, b int) bool {
+	if w[a].wakeAt != w[b].wakeAt {
+		return w[a].wakeAt < w[b].wakeAt
+	}
+	return w[a].id < w[b].id
+}
+
+func (w serviceWakes) Swap(a, b int) {
+	w[a], w[b] = w[b], w[a]
+	w[a].wakeSlot, w[b].wakeSlot = a+1, b+1
+}
+
+// Push adds a service.
+func (w *serviceWakes) Push(x any) {
+	s := x.(*entryService)
+	*w = append(*w, s)
+	s.wakeSlot = len(*w)
+}
+
+// Pop removes the last service.
+func (w *serviceWakes) Pop() any {
+	last := len(*w) - 1
+	s := (*w)[last]
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	s.wakeSlot = 0
+	return s
+}
+
+// touch has the service settled in this step.
+func (e *Entry) touch(s *entryService) {
+	if !s.isTouched {
+		s.isTouched = true
+		e.schedule.touched = append(e.schedule.touched, s)
+	}
+}
+
+func (e *Entry) touchAll() {
+	for _, id := range e.order {
+		e.touch(e.services[id])
+	}
+}
+
+// due returns the services to settle, ascending by id.
+func (e *Entry) due() []*entryService {
+	p := &e.schedule
+	for len(p.wakes) > 0 && !p.wakes[0].wakeAt.After(e.now) {
+		e.touch(heap.Pop(&p.wakes).(*entryService))
+	}
+	p.batch, p.touched = p.touched, p.batch[:0]
+	if len(p.batch) > 1 {
+		slices.SortFunc(p.batch, func(a, b *entryService) int { return strings.Compare(string(a.id), string(b.id)) })
+	}
+	for _, s := range p.batch {
+		s.isTouched = false
+	}
+	return p.batch
+}
+
+// wakeService stores when the service must be settled next, zero for never.
+func (e *Entry) wakeService(s *entryService, at catalog.Instant) {
+	w := &e.schedule.wakes
+	switch {
+	case at == s.wakeAt && s.wakeSlot != 0:
+		return
+	case at == 0:
+		if s.wakeSlot != 0 {
+			heap.Remove(w, s.wakeSlot-1)
+		}
+		s.wakeAt = 0
+	case s.wakeSlot != 0:
+		s.wakeAt = at
+		heap.Fix(w, s.wakeSlot-1)
+	default:
+		s.wakeAt = at
+		heap.Push(w, s)
+	}
+}
+
+// firstWake is the earliest deadline of all services, zero if none.
+func (e *Entry) firstWake() catalog.Instant {
+	if w := e.schedule.wakes; len(w) > 0 {
+		return w[0].wakeAt
+	}
+	return 0
+}
--- /dev/null
+++ b/node/entry_schedule_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// TestEntrySettlesWhatIsDue has services ask for wakes at random and compares
+// what a step settles with a plain search.
+func TestEntrySettlesWhatIsDue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := NewEntry(EntryOptions{Timings: catalog.DefaultTimings()})
+		want := map[catalog.ServiceID]catalog.Instant{}
+		for n := range 8 {
+			e.service(sizeName(n))
+		}
+		e.due()
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			s := e.services[sizeName(rapid.IntRange(0, 7).Draw(t, "service"))]
+			at := catalog.Instant(rapid.IntRange(0, 40).Draw(t, "at"))
+			e.wakeService(s, at)
+			want[s.id] = at
+			e.now = e.now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "pass")))
+			touched := e.services[sizeName(rapid.IntRange(0, 7).Draw(t, "touched"))]
+			e.touch(touched)
+			e.touch(touched)
+			var ids []catalog.ServiceID
+			for _, id := range e.order {
+				if (want[id] != 0 && want[id] <= e.now) || id == touched.id {
+					ids = append(ids, id)
+				}
+			}
+			due := e.due()
+			if len(due) != len(ids) {
+				t.Fatalf("%d services are due, want %v", len(due), ids)
+			}
+			for n, s := range due {
+				if s.id != ids[n] {
+					t.Fatalf("service %d is %s, want %s", n, s.id, ids[n])
+				}
+				if want[s.id] <= e.now {
+					want[s.id] = 0
+					e.wakeService(s, 0)
+				}
+			}
+		}
+	})
+}
+
+// TestEntryLeavesOthersAlone counts what an event of one service settles.
+func TestEntryLeavesOthersAlone(t *testing.T) {
+	w := newSizeWorld(20, nil)
+	w.run(time.Second)
+	e := w.entry
+	w.step(TimerFired{})
+	w.step(RequestArrived{Request: 1, Service: sizeName(3), Deadline: w.now.Add(time.Second)})
+	if len(e.schedule.batch) != 1 || e.schedule.batch[0].id != sizeName(3) {
+		t.Errorf("%d services were settled for one request", len(e.schedule.batch))
+	}
+}
--- a/node/entry_settings.go
+++ b/node/entry_settings.go
@@ -15,7 +15,7 @@
 	e.version = a.Version
 	if a.Whole {
 		for _, id := range e.order {
-			e.services[id].accepted = false
+			e.service(id).accepted = false
 		}
 	}
 	for _, c := range a.Settings {
@@ -26,6 +26,7 @@
 	}
 	if a.HasDrained {
 		e.drained = a.Drained
+		e.touchAll()
 	}
 }
 
--- /dev/null
+++ b/node/entry_size_test.go
@@ -0,0 +1,203 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/link"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// sizeWorld runs one entry with many services in virtual time: upstreams that
+// always answer and a control that gives what is asked for.
+type sizeWorld struct {
+	entry  *Entry
+	now    catalog.Instant
+	due    []sizeEvent
+	timer  catalog.Instant
+	number uint64
+	// reported and relayed count the bytes of messages that left.
+	reported, relayed int
+	// spoken is how many Step calls there were.
+	spoken int
+}
+
+type sizeEvent struct {
+	at catalog.Instant
+	in Input
+}
+
+const sizeWay = time.Millisecond
+
+func sizeName(n int) catalog.ServiceID {
+	return catalog.ServiceID(fmt.Sprintf("service-%05d", n))
+}
+
+// newSizeWorld has each service's three instances in three sites, the primary
+// of every third in the entry's own.
+func newSizeWorld(services int, change func(*EntryOptions)) *sizeWorld {
+	o := EntryOptions{
+		VM: "entry-0001", Site: "site-0", Life: 1, Seed: 7, Timings: catalog.DefaultTimings(),
+		Control: []catalog.VMID{"control-0", "control-1", "control-2"}, Version: 1,
+		Peers: []catalog.VMID{"entry-0002", "entry-0003", "entry-0004"},
+	}
+	for n := range services {
+		o.Settings = append(o.Settings, catalog.Service{
+			ID: sizeName(n), Ack: catalog.AckReplicated, Instances: 3,
+			Limits: catalog.Limits{Connections: 200, Slots: 8, LocalShare: 2},
+		})
+	}
+	if change != nil {
+		change(&o)
+	}
+	w := &sizeWorld{entry: NewEntry(o), now: catalog.Instant(time.Second)}
+	for n := range services {
+		for k := range 3 {
+			w.announce(n, k, true)
+		}
+	}
+	return w
+}
+
+func (w *sizeWorld) announce(n, k int, first bool) {
+	w.number++
+	a := catalog.Announcement{
+		Service: sizeName(n), Instance: sizeInstance(sizeName(n), k), Address: "10.20.30.40:5432",
+		Site: catalog.SiteID(fmt.Sprintf("site-%d", k)), Role: sizeRole(n, k),
+		Position: w.position(), Life: 1, Sequence: w.number,
+	}
+	in := Input(PeerReceived{From: "entry-0002", Message: wire.Message{Announcement: &a}})
+	if k == 0 {
+		in = Announced{Announcement: a}
+	}
+	if first {
+		w.step(in)
+		return
+	}
+	w.after(0, in)
+}
+
+func sizeInstance(id catalog.ServiceID, k int) catalog.InstanceID {
+	return catalog.InstanceID(fmt.Sprintf("%s-%d", id, k))
+}
+
+func sizeRole(n, k int) catalog.Role {
+	if n%3 == k {
+		return catalog.RolePrimary
+	}
+	return catalog.RoleReplica
+}
+
+func (w *sizeWorld) position() catalog.Position {
+	return catalog.Position{Term: 3, Offset: catalog.Offset(1<<40 + int64(w.now))}
+}
+
+func (w *sizeWorld) after(d time.Duration, in Input) {
+	at := w.now.Add(d)
+	n := len(w.due)
+	for n > 0 && w.due[n-1].at > at {
+		n--
+	}
+	w.due = slices.Insert(w.due, n, sizeEvent{at, in})
+}
+
+// run lets time pass; upstreams of the own site announce every half second,
+// relayed words of the others come once a second.
+func (w *sizeWorld) run(d time.Duration) {
+	const beat = 500 * time.Millisecond
+	for end, n := w.now.Add(d), 0; w.now < end; n++ {
+		for s := range len(w.entry.order) {
+			w.announce(s, 0, false)
+			if n%2 == 0 {
+				w.announce(s, 1, false)
+				w.announce(s, 2, false)
+			}
+		}
+		w.runUntil(min(end, w.now.Add(beat)))
+	}
+}
+
+func (w *sizeWorld) runUntil(end catalog.Instant) {
+	for {
+		at, timer := end, false
+		if w.timer != 0 && w.timer <= at {
+			at, timer = max(w.timer, w.now), true
+		}
+		if len(w.due) > 0 && w.due[0].at <= at {
+			v := w.due[0]
+			w.due = w.due[1:]
+			w.now = max(w.now, v.at)
+			w.step(v.in)
+			continue
+		}
+		w.now = at
+		if !timer {
+			return
+		}
+		w.timer = 0
+		w.step(TimerFired{})
+	}
+}
+
+func (w *sizeWorld) step(in Input) {
+	w.spoken++
+	for _, x := range w.entry.Step(Event{Now: w.now, Input: in}) {
+		switch v := x.(type) {
+		case SetTimer:
+			w.timer = v.At
+		case OpenConn:
+			w.after(sizeWay, ConnOpened{Conn: v.Conn})
+		case CloseConn:
+			w.after(0, ConnLost{Conn: v.Conn})
+		case Probe:
+			c := w.entry.conns[v.Conn]
+			w.after(sizeWay, ProbeDone{
+				Conn: v.Conn, SentAt: w.now, Evidence: wire.EvidenceAlive,
+				Role: sizeRoleOf(c.instance), Position: w.position(),
+			})
+		case RunRequest:
+			w.after(sizeWay, RequestDone{Request: v.Request, Conn: v.Conn, Reusable: true})
+		case SendPeer:
+			w.send(v)
+		}
+	}
+}
+
+func sizeRoleOf(i *entryInstance) catalog.Role { return i.announcement.Role }
+
+func (w *sizeWorld) send(v SendPeer) {
+	data, err := link.Encode(v.Message)
+	if err != nil {
+		panic(err)
+	}
+	switch m := v.Message; {
+	case m.Report != nil:
+		w.reported += len(data)
+		if v.To == "control-0" {
+			w.after(2*sizeWay, PeerReceived{From: "control-0", Message: wire.Message{Answer: w.answer(m.Report)}})
+		}
+	case m.Announcement != nil:
+		w.relayed += len(data)
+	}
+}
+
+func (w *sizeWorld) answer(m *wire.Report) *wire.Answer {
+	a := &wire.Answer{Leader: "control-0", Sequence: m.Sequence, Version: m.Settings}
+	for _, id := range m.Services {
+		var n int
+		if _, err := fmt.Sscanf(string(id), "service-%d", &n); err != nil {
+			panic(err)
+		}
+		a.Leases = append(a.Leases, wire.Lease{Length: w.entry.options.Timings.Lease, Primary: catalog.Primary{
+			Service: id, Epoch: 2, Instance: sizeInstance(id, n%3), Term: 3, Ready: true,
+		}})
+	}
+	for _, x := range m.Wants {
+		a.Grants = append(a.Grants, wire.Grant{
+			Service: x.Service, Instance: x.Instance, Connections: x.Wanted, Length: w.entry.options.Timings.Lease,
+		})
+	}
+	return a
+}
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -79,6 +79,13 @@
 	tokens float64
 	// serve is the smoothed time that a request takes at an upstream.
 	serve time.Duration
+
+	// isTouched is set while the service waits for being settled in this step.
+	isTouched bool
+	// wakeAt is when it must be settled next, and wakeSlot its place in the
+	// heap, counted from one; zero if it has no deadline.
+	wakeAt   catalog.Instant
+	wakeSlot int
 }
 
 // ringEntry says that the primary had reached Position when it was asked.
@@ -219,12 +226,15 @@
 	return r.Kind == KindRead || r.Kind == KindBeginRead
 }
 
+// service returns what is known of a service, for a change of it.
 func (e *Entry) service(id catalog.ServiceID) *entryService {
 	if s := e.services[id]; s != nil {
+		e.touch(s)
 		return s
 	}
 	s := &entryService{id: id, tokens: retryBurst, serve: firstServeGuess, unledSince: e.now}
 	e.services[id] = s
+	e.touch(s)
 	n := sort.Search(len(e.order), func(i int) bool { return e.order[i] >= id })
 	e.order = append(e.order, "")
 	copy(e.order[n+1:], e.order[n:])
