--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -207,6 +207,7 @@
 		default:
 			c.opened, c.life = true, u.life
 			u.open++
+			w.begin(p, u, 0)
 			u.highest = max(u.highest, u.open)
 			w.back(p, life, u, node.ConnOpened{Conn: v.Conn})
 		}
@@ -277,6 +278,7 @@
 		}
 		done := node.RequestDone{Request: v.Request, Conn: v.Conn, Reusable: true}
 		u := c.at
+		w.begin(p, u, v.Request)
 		switch {
 		case op.isWrite && u.role != catalog.RolePrimary:
 			done.Outcome = node.OutcomeReadOnly
@@ -299,6 +301,12 @@
 	})
 }
 
+func (w *world) begin(p *process, u *instance, id catalog.RequestID) {
+	if w.begun != nil {
+		w.begun(p, u, id)
+	}
+}
+
 func (w *world) execute(op *operation, u *instance) {
 	op.ran = append(op.ran, u.id)
 	if op.isWrite {
--- a/node/system_world_test.go
+++ b/node/system_world_test.go
@@ -66,6 +66,15 @@
 		spoilControl func(*node.Control)
 		spoilEntry   func(*node.Entry)
 		spoilFloors  bool
+		// spoilDisk makes disks forget what they said was synced.
+		spoilDisk bool
+		// sent, replied, stopped and begun tell a proof what happens; each
+		// may be nil. Begun is called when a connection or a request of an
+		// entry begins at an upstream.
+		sent    func(*process, node.SendPeer)
+		replied func(*process, node.OperatorAnswer)
+		stopped func(*process)
+		begun   func(*process, *instance, catalog.RequestID)
 	}
 )
 
@@ -265,7 +274,18 @@
 			}
 		})
 	case node.SendPeer:
+		if w.sent != nil {
+			w.sent(p, v)
+		}
 		w.send(p, v)
+	case node.OperatorAnswer:
+		if w.replied != nil {
+			w.replied(p, v)
+		}
+	case node.Stopped:
+		if w.stopped != nil {
+			w.stopped(p)
+		}
 	case node.Persist:
 		w.persist(p, v)
 	case node.AnswerRequest:
@@ -283,7 +303,9 @@
 		if p.life != life {
 			return
 		}
-		p.saved = stored(p.saved, v.Write)
+		if !w.spoilDisk {
+			p.saved = stored(p.saved, v.Write)
+		}
 		w.handle(p, life, node.Persisted{Token: v.Token})
 	})
 }
