--- a/node/system_operator_test.go
+++ b/node/system_operator_test.go
@@ -14,7 +14,8 @@
 const (
 	operatorTime = 1500 * ms
 	forwardTries = 4
-	// answerLoss is the share of answers that operators never see.
+	// answerLoss is the share of answers that operators never see, but in the
+	// calm.
 	answerLoss = 0.1
 )
 
@@ -43,6 +44,7 @@
 		ever     map[catalog.VMID]catalog.Version
 		// spoilIDs makes resends come under a new change id.
 		spoilIDs bool
+		loss     float64
 	}
 	question struct {
 		at   *process
@@ -53,7 +55,7 @@
 
 func newOperators(w *world) *operators {
 	o := &operators{
-		w: w, open: map[uint64]*question{}, reported: map[catalog.VMID]catalog.Version{},
+		w: w, loss: answerLoss, open: map[uint64]*question{}, reported: map[catalog.VMID]catalog.Version{},
 		lives: map[catalog.VMID]uint64{}, ever: map[catalog.VMID]catalog.Version{},
 	}
 	w.sent, w.replied = o.watch, o.replied
@@ -83,7 +85,7 @@
 		return
 	}
 	delete(o.open, a.Number)
-	if o.w.rng.Float64() < answerLoss {
+	if o.w.rng.Float64() < o.loss {
 		o.w.caused["lost answer"]++
 		return
 	}
--- a/node/system_settings_test.go
+++ b/node/system_settings_test.go
@@ -10,6 +10,7 @@
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/node"
 	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/wire"
 )
 
 const (
@@ -60,7 +61,7 @@
 			next = w.now.Add(time.Duration(300+w.rng.IntN(1500)) * ms)
 		}
 	}
-	w.loss = 0
+	w.loss, o.loss = 0, 0
 	w.run(settleTime)
 	o.checkSpread()
 	o.check()
@@ -68,30 +69,32 @@
 }
 
 // playDisk has a control VM lose its disk, be replaced, and a second VM be
-// lost for good right after the answer. It returns how many changes came after.
+// lost for good right after the answer.
 func playDisk(seed uint64, early, sameLife bool) *world {
 	w := newWorld(seed, catalog.AckPrimary, nil)
 	w.answer = func(*process, node.AnswerRequest) {}
 	o := newOperators(w)
 	w.run(2 * time.Second)
 	end, replaced := w.now.Add(8*time.Second), false
-	w.after(time.Duration(1000+w.rng.IntN(1000))*ms, func() {
-		names := w.names('k')
-		first := w.byName[names[w.rng.IntN(3)]]
-		second := w.byName[names[(slices.Index(names, first.vm)+1+w.rng.IntN(2))%3]]
+	first, second, third := w.drawControl()
+	begin := w.now.Add(time.Duration(1000+w.rng.IntN(1000)) * ms)
+	lose := func() {
+		replaced = true
+		w.kill(second)
+		w.caused["second lost"]++
+	}
+	if early {
+		// What is accepted now is held by the two that are lost.
+		w.after(begin.Sub(w.now)-500*ms, func() { third.thawAt = w.now.Add(time.Second) })
+	}
+	w.after(begin.Sub(w.now), func() {
 		w.kill(first)
 		w.caused["disk lost"]++
-		saved := quorum.Saved{Self: quorum.Member{VM: first.vm, Incarnation: 2}}
+		first.saved = quorum.Saved{Self: quorum.Member{VM: first.vm, Incarnation: 2}}
 		if sameLife {
-			saved = quorum.Saved{Self: first.saved.Self, Snapshot: quorum.Snapshot{Members: newMembers(w)}}
+			first.saved = quorum.Saved{Self: newMembers(w)[slices.Index(w.names('k'), first.vm)], Snapshot: quorum.Snapshot{Members: newMembers(w)}}
 		}
-		first.saved = saved
 		w.after(300*ms, func() { w.start(first) })
-		lose := func() {
-			replaced = true
-			w.kill(second)
-			w.caused["second lost"]++
-		}
 		if early {
 			w.after(time.Duration(w.rng.IntN(400))*ms, lose)
 			return
@@ -106,6 +109,7 @@
 		w.fail("the VM was never replaced")
 	}
 	w.run(4 * time.Second)
+	o.loss = 0
 	n := len(o.intents)
 	o.race(1)
 	w.run(4 * time.Second)
@@ -116,6 +120,13 @@
 	return w
 }
 
+// drawControl returns the control VMs in a random order.
+func (w *world) drawControl() (first, second, third *process) {
+	names := w.names('k')
+	n := w.rng.Perm(len(names))
+	return w.byName[names[n[0]]], w.byName[names[n[1]]], w.byName[names[n[2]]]
+}
+
 func newMembers(w *world) []quorum.Member {
 	var out []quorum.Member
 	for _, vm := range w.names('k') {
@@ -196,6 +207,16 @@
 	t.Run("empty disk in the old life", func(t *testing.T) {
 		wantBroken(t, "was accepted and lost", func(seed uint64) *world { return playDisk(seed, true, true) })
 	})
+	t.Run("entries that go back", func(t *testing.T) {
+		w := newWorld(1, catalog.AckPrimary, nil)
+		o := newOperators(w)
+		for _, r := range []wire.Report{{Life: 1, Settings: 4}, {Life: 1, Settings: 3}, {Life: 2}, {Life: 2, Settings: 3}} {
+			o.watch(w.byName["e1"], node.SendPeer{Message: wire.Message{Report: &r}})
+		}
+		if seen := fmt.Sprint(w.broken); !strings.Contains(seen, "back from version 4 to 3") || !strings.Contains(seen, "before its restart") {
+			t.Errorf("not seen in %v", w.broken)
+		}
+	})
 	t.Run("known bad histories", func(t *testing.T) {
 		a := &intent{command: node.Command{Change: "c1", IfVersion: 1}, code: node.ReplyOK, version: 2, decided: true}
 		b := &intent{command: node.Command{Change: "c2", IfVersion: 1}, code: node.ReplyOK, version: 2, decided: true}
