--- a/node/control_report.go
+++ b/node/control_report.go
@@ -125,7 +125,7 @@
 	if bad {
 		c.watchSuspects()
 	}
-	c.answer(from, v, true)
+	c.answer(from, v)
 }
 
 func (c *Control) entry(vm catalog.VMID, site catalog.SiteID) *entryView {
@@ -161,21 +161,39 @@
 	return bad
 }
 
-// answer sends an entry its leases, grants and settings. A pushed answer
-// repeats the sequence of the last report, so that lengths count from there.
-func (c *Control) answer(vm catalog.VMID, v *entryView, renew bool) {
+// answer answers an entry's report with its leases, grants and settings.
+func (c *Control) answer(vm catalog.VMID, v *entryView) {
+	a := c.newAnswer(v)
+	length := c.leaseLength(v.seenAt)
+	c.addLeases(a, vm, v, v.services, length)
+	if length > 0 && !v.leaving {
+		a.Grants = c.grant(vm, v, length)
+	}
+	c.emit(SendPeer{To: vm, Message: wire.Message{Answer: a}})
+}
+
+// push tells an entry what changed, as another answer to its last report: the
+// settings and the primaries of the services named. Lengths count from that
+// report.
+func (c *Control) push(vm catalog.VMID, services ...catalog.ServiceID) {
+	v := c.entries[vm]
+	a := c.newAnswer(v)
+	c.addLeases(a, vm, v, services, c.leaseLength(v.seenAt))
+	c.emit(SendPeer{To: vm, Message: wire.Message{Answer: a}})
+}
+
+func (c *Control) newAnswer(v *entryView) *wire.Answer {
 	a := &wire.Answer{Leader: c.options.VM, Sequence: v.sequence, Version: c.state.Version}
 	c.addSettings(a, v.settings)
-	length := c.leaseLength(v.seenAt)
-	for _, id := range v.services {
+	return a
+}
+
+func (c *Control) addLeases(a *wire.Answer, vm catalog.VMID, v *entryView, services []catalog.ServiceID, length time.Duration) {
+	for _, id := range services {
 		if _, ok := c.state.Service(id); ok {
 			a.Leases = append(a.Leases, c.lease(vm, v, id, length))
 		}
 	}
-	if renew && length > 0 && !v.leaving {
-		a.Grants = c.grant(vm, v, length)
-	}
-	c.emit(SendPeer{To: vm, Message: wire.Message{Answer: a}})
 }
 
 // addSettings adds what was changed since the entry's version.
@@ -215,17 +233,17 @@
 	return wire.Lease{Primary: p, Length: length}
 }
 
-// pushAll answers all entries anew, because something changed for them.
+// pushAll tells all entries of changed settings.
 func (c *Control) pushAll() {
 	for _, vm := range c.entryNames() {
-		c.answer(vm, c.entries[vm], false)
+		c.push(vm)
 	}
 }
 
-// pushService answers anew the entries that serve a service.
+// pushService tells the entries that serve a service of its primary.
 func (c *Control) pushService(id catalog.ServiceID) {
 	for _, vm := range c.subscribers.names(id) {
-		c.answer(vm, c.entries[vm], false)
+		c.push(vm, id)
 	}
 }
 
