node: give no settings without contact to a quorum

A leader that had lost its quorum answered an entry's first report with the settings it knew, older than what the entry had before its restart. It now leaves settings out until it is in contact again, as it already does for operators' commands.

--- /dev/null
+++ b/daemon/cluster_test.go
@@ -0,0 +1,280 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/daemon"
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/settings"
+	"github.com/kingcupknot/kingcupknot/standin"
+)
+
+const (
+	// patience bounds every wait; no verdict hangs on how long one took.
+	patience = 30 * time.Second
+	pause    = 10 * time.Millisecond
+)
+
+type (
+	// cluster is a whole system in this process, over loopback.
+	cluster struct {
+		t         *testing.T
+		settings  *settings.Settings
+		running   map[catalog.VMID]*running
+		upstreams []*standin.Server
+	}
+	// running is one life of a VM.
+	running struct {
+		cancel context.CancelFunc
+		drain  chan struct{}
+		done   chan error
+	}
+)
+
+// freeAddresses returns addresses that nobody listens at now.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+// newCluster starts three control VMs, three entries and three upstreams.
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t, settings: settings.Default(), running: map[catalog.VMID]*running{}}
+	s := c.settings
+	s.Log.Level, s.VMs, s.Control.Members = "error", nil, nil
+	s.Services = []catalog.Service{{
+		ID: "shop", Ack: catalog.AckReplicated, Instances: 3,
+		Limits: catalog.Limits{Connections: 20, Reserved: 2, Slots: 4, LocalShare: 2},
+	}}
+	free := freeAddresses(t, 15)
+	for n, site := range s.Sites[:3] {
+		a := free[5*n:]
+		k := settings.VM{Name: catalog.VMID(fmt.Sprint("k", n+1)), Site: site, Role: settings.RoleControl, PeerAddress: a[0], AdminAddress: a[1]}
+		e := settings.VM{Name: catalog.VMID(fmt.Sprint("e", n+1)), Site: site, Role: settings.RoleEntry, PeerAddress: a[2], AdminAddress: a[3], CallerAddress: a[4]}
+		s.VMs = append(s.VMs, k, e)
+		s.Control.Members = append(s.Control.Members, settings.Member{VM: k.Name, Site: site, Address: k.PeerAddress})
+	}
+	for _, v := range s.VMs {
+		c.start(v.Name, t.TempDir())
+	}
+	t.Cleanup(c.close)
+	c.startUpstreams()
+	for _, v := range s.VMs {
+		if v.Role == settings.RoleEntry {
+			c.must(v.Name, "", fmt.Sprintf("INSERT INTO ready (key, value) VALUES ('%s', '1')", v.Name))
+		}
+	}
+	return c
+}
+
+func (c *cluster) startUpstreams() {
+	follow := ""
+	for n, id := range []catalog.InstanceID{"a", "b", "c"} {
+		u, err := standin.Start(standin.Options{
+			Service: "shop", Instance: id, Site: c.settings.Sites[n], Listen: "127.0.0.1:0", Follow: follow,
+			Announce: c.settings.AdminAddresses(settings.RoleEntry), Slots: 4, Connections: 20,
+		})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.upstreams = append(c.upstreams, u)
+		follow = c.upstreams[0].Address
+	}
+}
+
+func (c *cluster) vm(name catalog.VMID) settings.VM {
+	v, err := c.settings.VM(name)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return v
+}
+
+func (c *cluster) start(name catalog.VMID, data string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{cancel: cancel, drain: make(chan struct{}), done: make(chan error, 1)}
+	c.running[name] = r
+	o := daemon.Options{Settings: c.settings, VM: c.vm(name), Data: data, Bootstrap: true}
+	go func() { r.done <- daemon.Run(ctx, o, r.drain) }()
+}
+
+// kill ends a VM at once.
+func (c *cluster) kill(name catalog.VMID) {
+	r := c.running[name]
+	delete(c.running, name)
+	r.cancel()
+	<-r.done
+}
+
+// stop ends a VM as planned and returns what Run says.
+func (c *cluster) stop(name catalog.VMID) error {
+	r := c.running[name]
+	delete(c.running, name)
+	close(r.drain)
+	defer r.cancel()
+	select {
+	case err := <-r.done:
+		return err
+	case <-time.After(patience):
+		return errors.New("the VM never stopped")
+	}
+}
+
+func (c *cluster) close() {
+	for name := range c.running {
+		c.kill(name)
+	}
+	for _, u := range c.upstreams {
+		u.Stop()
+	}
+}
+
+// stopPrimary ends the upstream that is the primary and returns its place.
+func (c *cluster) stopPrimary() int {
+	for n, u := range c.upstreams {
+		if role, _ := u.Status(); role == catalog.RolePrimary {
+			u.Stop()
+			return n
+		}
+	}
+	c.t.Fatal("no primary")
+	return 0
+}
+
+func (c *cluster) connect(entry catalog.VMID) (*pgx.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	p, err := pgx.Connect(ctx, "postgres://caller@"+c.vm(entry).CallerAddress+"/shop?sslmode=disable")
+	if err == nil {
+		c.t.Cleanup(func() { closeConn(p) })
+	}
+	return p, err
+}
+
+// conn connects to an entry that is known to run.
+func (c *cluster) conn(entry catalog.VMID) *pgx.Conn {
+	c.t.Helper()
+	p, err := c.connect(entry)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return p
+}
+
+func closeConn(p *pgx.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = p.Close(ctx)
+}
+
+func comment(hints string) string {
+	if hints == "" {
+		return ""
+	}
+	return "/* kingcupknot: " + hints + " */ "
+}
+
+// ask runs one statement and returns the first value of its last row.
+func ask(p *pgx.Conn, hints, text string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	rows, err := p.Query(ctx, comment(hints)+text, pgx.QueryExecModeSimpleProtocol)
+	if err != nil {
+		return "", err
+	}
+	value := ""
+	for rows.Next() {
+		value = string(rows.RawValues()[0])
+	}
+	rows.Close()
+	return value, rows.Err()
+}
+
+func isNotRun(err error) bool {
+	var e *pgconn.PgError
+	return errors.As(err, &e) && e.Code == "57P03" && strings.HasPrefix(e.Message, "not run:")
+}
+
+func code(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+// must runs a statement through an entry on a connection of its own, again if
+// it was refused as not run, and with a request id also if it is unknown.
+func (c *cluster) must(entry catalog.VMID, hints, text string) string {
+	c.t.Helper()
+	var last error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pause) {
+		p, err := c.connect(entry)
+		if err != nil {
+			last = err
+			continue
+		}
+		value, err := ask(p, hints, text)
+		closeConn(p)
+		if err == nil {
+			return value
+		}
+		last = err
+		again := isNotRun(err) || strings.Contains(hints, "request=") && (code(err) == "08007" || code(err) == "57P01" || code(err) == "")
+		if !again {
+			break
+		}
+	}
+	c.t.Fatalf("%s at %s: %v", text, entry, last)
+	return ""
+}
+
+// command sends an operator's command to a VM until it has an answer.
+func (c *cluster) command(vm catalog.VMID, d node.Command) node.Reply {
+	c.t.Helper()
+	body, err := json.Marshal(d)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pause) {
+		a, err := http.Post("http://"+c.vm(vm).AdminAddress+"/v1/command", "application/json", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		var r node.Reply
+		err = json.NewDecoder(a.Body).Decode(&r)
+		_ = a.Body.Close()
+		if err == nil && r.Code != node.ReplyNotLeader && r.Code != node.ReplyUnknown {
+			return r
+		}
+	}
+	c.t.Fatalf("%s answers no command", vm)
+	return node.Reply{}
+}
+
+func (c *cluster) status(vm catalog.VMID) *node.Status {
+	return c.command(vm, node.Command{Status: &node.StatusQuery{}}).Status
+}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -139,9 +139,14 @@
 
 // answer sends an entry its leases, grants and settings. A pushed answer
 // repeats the sequence of the last report, so that lengths count from there.
+// Without contact to a quorum there may be a newer leader and newer settings,
+// and an entry that restarted must not get older ones than it had.
 func (c *Control) answer(vm catalog.VMID, v *entryView, renew bool) {
-	a := &wire.Answer{Leader: c.options.VM, Sequence: v.sequence, Version: c.state.Version}
-	c.addSettings(a, v.settings)
+	a := &wire.Answer{Leader: c.options.VM, Sequence: v.sequence}
+	if c.inContact() {
+		a.Version = c.state.Version
+		c.addSettings(a, v.settings)
+	}
 	length := c.leaseLength(v.seenAt)
 	for _, id := range v.services {
 		if _, ok := c.state.Service(id); ok {
--- a/node/system_settings_test.go
+++ b/node/system_settings_test.go
@@ -237,3 +237,48 @@
 		}
 	})
 }
+
+// leader asks until a control VM says who leads.
+func (o *operators) leader() *process {
+	var found catalog.VMID
+	for found == "" {
+		o.send(o.anyControl(), node.Command{Status: &node.StatusQuery{}}, forwardTries, func(r node.Reply) {
+			if r.Status != nil {
+				found = r.Status.Leader
+			}
+		})
+		o.w.run(200 * ms)
+	}
+	return o.w.byName[found]
+}
+
+// TestSystemStaleLeader has an entry restart within reach of none but a leader
+// that was frozen while another one accepted a change.
+func TestSystemStaleLeader(t *testing.T) {
+	prove(t, 10, nil, func(seed uint64) *world {
+		w := newWorld(seed, catalog.AckPrimary, nil)
+		w.answer = func(*process, node.AnswerRequest) {}
+		o := newOperators(w)
+		o.loss = 0
+		w.run(2 * time.Second)
+		o.race(0)
+		old := o.leader()
+		w.run(time.Second)
+		old.thawAt = w.now.Add(5 * time.Second)
+		w.run(2 * time.Second)
+		o.race(1)
+		w.run(2 * time.Second)
+		entry := w.byName["e"+old.vm[1:]]
+		if v := o.reported[entry.vm]; len(o.intents) != 1 || v < o.intents[0].version {
+			w.fail("the change is not in force at version %d", v)
+		}
+		w.apart[old.site] = true
+		w.kill(entry)
+		w.start(entry)
+		w.run(2 * time.Second)
+		delete(w.apart, old.site)
+		w.run(2 * time.Second)
+		o.check()
+		return w
+	})
+}
