prove: add runs of real processes with faults

Histories under virtual time say nothing about sockets, disks and signals. The runs start a fresh set each, kill, freeze or cut parts of it under load, and check the history for safety only. The ports of a set can be chosen now, so that two sets stand side by side.

--- /dev/null
+++ b/cmd/kingcupknot-faults/main.go
@@ -0,0 +1,61 @@
+// Kingcupknot-faults reads what a running set says of itself and asks its
+// relays and stand-ins for faults. It starts and ends no process; scripts do.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+)
+
+// command does one thing with its arguments and prints what it found.
+type command struct {
+	usage string
+	// least is how many arguments it needs.
+	least int
+	run   func(args []string) error
+}
+
+var commands = map[string]command{
+	"leader":     {"leader < STATUS: the control leader's VM", 0, leader},
+	"primary":    {"primary SERVICE < STATUS: the instance that is its ready primary", 1, primary},
+	"version":    {"version < STATUS: the version in force", 0, version},
+	"settled":    {"settled SERVICE... < STATUS: exit 0 once all members and entries and the services' primaries are well", 1, settled},
+	"caught":     {"caught VM < STATUS: exit 0 once the control VM votes and is caught up", 1, caught},
+	"once":       {"once CHANGE... < HISTORY: exit 0 if each change is there exactly once", 1, once},
+	"post":       {"post URL...: POST to each", 1, post},
+	"cut":        {"cut IP:PORT TEXT: cut a relay's routes whose names hold the text", 2, cut},
+	"heal":       {"heal IP:PORT TEXT: heal them", 2, heal},
+	"statements": {"statements IP:PORT: what a stand-in ran, by kind", 1, statements},
+	"verdict":    {"verdict REPORT: operations and violations; exit 1 if there are some, 2 if it can't be read", 1, verdict},
+}
+
+// exitUsage says that a command can't be carried out as it was given.
+const exitUsage = 2
+
+func main() {
+	if len(os.Args) < 2 {
+		usage(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	c, ok := commands[os.Args[1]]
+	if !ok || len(os.Args)-2 < c.least {
+		usage(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	if err := c.run(os.Args[2:]); err != nil {
+		fmt.Fprintf(os.Stderr, "faults: %s: %s\n", os.Args[1], err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func usage(w io.Writer) {
+	var lines []string
+	for _, c := range commands {
+		lines = append(lines, "  kingcupknot-faults "+c.usage)
+	}
+	sort.Strings(lines)
+	fmt.Fprintln(w, strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/cmd/kingcupknot-faults/read.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+// reply reads what kingcupknot --json printed.
+func reply(r io.Reader) (node.Reply, error) {
+	var out node.Reply
+	if err := json.NewDecoder(r).Decode(&out); err != nil {
+		return out, errors.Annotate(err, "read the reply")
+	}
+	return out, nil
+}
+
+func status() (*node.Status, error) {
+	r, err := reply(os.Stdin)
+	if err != nil {
+		return nil, err
+	}
+	if r.Status == nil {
+		return nil, errors.New("the reply has no status")
+	}
+	return r.Status, nil
+}
+
+func leader([]string) error {
+	s, err := status()
+	if err != nil {
+		return err
+	}
+	if s.Leader == "" {
+		return errors.New("there is no leader")
+	}
+	fmt.Println(s.Leader)
+	return nil
+}
+
+func version([]string) error {
+	s, err := status()
+	if err != nil {
+		return err
+	}
+	fmt.Println(s.Version)
+	return nil
+}
+
+func primary(args []string) error {
+	s, err := status()
+	if err != nil {
+		return err
+	}
+	for _, v := range s.Services {
+		if v.Service.ID == catalog.ServiceID(args[0]) && v.Primary.Ready && v.Phase == "" {
+			fmt.Println(v.Primary.Instance)
+			return nil
+		}
+	}
+	return errors.New("there is no ready primary")
+}
+
+func caught(args []string) error {
+	s, err := status()
+	if err != nil {
+		return err
+	}
+	for _, m := range s.Members {
+		if m.VM == catalog.VMID(args[0]) && m.Voter && m.Reachable && m.Caught {
+			return nil
+		}
+	}
+	return errors.Errorf("%s is no caught-up voter", args[0])
+}
+
+// settled wants the services named to have a primary; others, which only
+// changes made, have no upstreams.
+func settled(args []string) error {
+	s, err := status()
+	if err != nil {
+		return err
+	}
+	for _, m := range s.Members {
+		if !m.Voter || !m.Reachable || !m.Caught {
+			return errors.Errorf("%s is no caught-up voter", m.VM)
+		}
+	}
+	for _, v := range s.Services {
+		if slices.Contains(args, string(v.Service.ID)) && (!v.Primary.Ready || v.Phase != "") {
+			return errors.Errorf("%s has no ready primary", v.Service.ID)
+		}
+	}
+	for _, e := range s.Entries {
+		if e.Settings != s.Version {
+			return errors.Errorf("%s has version %d, not %d", e.VM, e.Settings, s.Version)
+		}
+	}
+	if len(s.Entries) == 0 || len(s.Services) == 0 {
+		return errors.New("there are no entries or services yet")
+	}
+	return nil
+}
+
+// once checks the accepted changes, which each must be there once.
+func once(args []string) error {
+	r, err := reply(os.Stdin)
+	if err != nil {
+		return err
+	}
+	count := map[catalog.ChangeID]int{}
+	versions := map[catalog.Version]int{}
+	for _, c := range r.History {
+		count[c.Change]++
+		versions[c.Version]++
+		if versions[c.Version] > 1 {
+			return violated("version %d was given twice", c.Version)
+		}
+	}
+	for _, id := range args {
+		if n := count[catalog.ChangeID(id)]; n != 1 {
+			return violated("change %s is there %d times", id, n)
+		}
+	}
+	fmt.Printf("%d changes, %d of them asked for, each once\n", len(r.History), len(args))
+	return nil
+}
--- /dev/null
+++ b/cmd/kingcupknot-faults/verdict.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/workload"
+)
+
+// exitViolated says that a promise was broken.
+const exitViolated = 1
+
+// violation is a promise that was seen broken.
+type violation string
+
+func (v violation) Error() string { return string(v) }
+
+func violated(format string, args ...any) error {
+	return violation(fmt.Sprintf(format, args...))
+}
+
+// exitCode tells a violation from everything else that goes wrong.
+func exitCode(err error) int {
+	var v violation
+	if errors.As(err, &v) {
+		return exitViolated
+	}
+	return exitUsage
+}
+
+// verdict reads the last line of a report.
+func verdict(args []string) error {
+	text, err := os.ReadFile(args[0])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	var s workload.Summary
+	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &s); err != nil {
+		return errors.Annotate(err, "the report has no summary")
+	}
+	total := s.Acknowledged + s.Refused + s.Unknown + s.Failed
+	fmt.Printf("operations=%d acknowledged=%d refused=%d unknown=%d failed=%d\n",
+		total, s.Acknowledged, s.Refused, s.Unknown, s.Failed)
+	if s.Acknowledged == 0 {
+		return errors.New("nothing was acknowledged, so nothing was checked")
+	}
+	if s.Lost+s.Doubled+s.Stale+s.TooOld+s.Invented+s.RefusedThere > 0 || s.SumWrong {
+		return violated("lost=%d doubled=%d stale=%d too-old=%d invented=%d refused-but-present=%d sum-wrong=%t",
+			s.Lost, s.Doubled, s.Stale, s.TooOld, s.Invented, s.RefusedThere, s.SumWrong)
+	}
+	return nil
+}
--- /dev/null
+++ b/scripts/prove-faults.sh
@@ -0,0 +1,117 @@
+# Runs under load: what dies, freezes or is cut off.
+
+# lose_primary kills a primary, waits for the next, and lets the old one
+# rejoin. Sets primary.
+lose_primary() { # service
+  old=$(primary_now "$1")
+  [ -n "$old" ] || { failed "$1 has no primary to kill"; return; }
+  gone "$old"
+  fault kill-primary
+  await 15 primary_other_than "$1" "$old" || { failed "no primary after $old"; return; }
+  rejoin "$old" "$primary"
+}
+
+run_primary() {
+  begin
+  start_load 13s token --move
+  lose_primary orders
+  sleep 1
+  lose_primary orders && fault two-failovers
+  sleep 1
+  old=$(primary_now stock)
+  gone "$old"
+  lose_primary workshops && fault two-primaries
+  end_load
+}
+
+run_entry() {
+  begin
+  start_load 13s id --move
+  gone muscat-1-entry-1
+  fault kill-entry
+  sleep 1
+  restart_vm muscat-1-entry-1
+  frozen muscat-2-entry-1 2
+  fault freeze-entry
+  sleep 1
+  gone muscat-3-entry-2
+  lose_primary orders && fault kill-entry-and-primary
+  restart_vm muscat-3-entry-2
+  end_load
+}
+
+# freeze_primary stops a primary for a while with work in flight.
+freeze_primary() { # service, seconds
+  old=$(primary_now "$1")
+  [ -n "$old" ] || { failed "$1 has no primary to freeze"; return; }
+  frozen "$old" "$2"
+  fault "freeze-primary-$2s"
+  await 15 primary_other_than "$1" none || failed "no primary after a freeze"
+}
+
+run_freeze() {
+  begin
+  start_load 15s token --move
+  freeze_primary orders 0.2
+  sleep 0.5
+  freeze_primary orders 1
+  sleep 1
+  freeze_primary orders 3
+  sleep 1
+  freeze_primary stock 1
+  end_load
+}
+
+run_connections() {
+  begin
+  start_load 14s connection
+  freeze_primary orders 1
+  sleep 0.5
+  lose_primary stock
+  sleep 0.5
+  freeze_primary orders 3
+  gone muscat-2-entry-2
+  fault kill-entry
+  sleep 0.5
+  restart_vm muscat-2-entry-2
+  end_load
+}
+
+run_control_frozen() {
+  begin
+  start_load 13s id --move
+  old_leader=$(leader_now)
+  frozen "$old_leader" 5 &
+  thaw=$!
+  fault freeze-leader
+  await 4 leader_other_than "$old_leader" || failed "no leader beside the frozen one"
+  lose_primary orders && fault freeze-leader-and-kill-primary
+  wait "$thaw"
+  end_load
+}
+
+run_cut() {
+  RELAYS=1
+  begin
+  start_load 22s token --move
+  "$FAULTS" cut "$RELAY" s2- >/dev/null && fault cut-vms
+  sleep 3
+  "$FAULTS" heal "$RELAY" s2- >/dev/null
+  sleep 1
+  old=$(primary_now orders)
+  site=${old##*-}
+  "$FAULTS" cut "$RELAY" "s$site-" >/dev/null && "$FAULTS" cut "$RELAY" "u$site-" >/dev/null && fault cut-site
+  await 8 primary_other_than orders "$old" || failed "no primary beside the cut-off site"
+  sleep 1
+  "$FAULTS" heal "$RELAY" "s$site-" >/dev/null && "$FAULTS" heal "$RELAY" "u$site-" >/dev/null
+  sleep 2
+  old=$(primary_now stock)
+  site=$((${old##*-} % 3 + 1))
+  "$FAULTS" cut "$RELAY" "s$site-" >/dev/null
+  gone "$old"
+  fault cut-and-kill-primary
+  sleep 3
+  "$FAULTS" heal "$RELAY" "s$site-" >/dev/null
+  await 15 primary_other_than stock "$old" && rejoin "$old" "$primary"
+  end_load
+}
--- a/scripts/set.sh
+++ b/scripts/set.sh
@@ -4,49 +4,67 @@
 
 BIN=${BIN:-bin}
 RUN=${RUN:-run}
-ADMINS="127.0.0.1:7411 127.0.0.1:7412 127.0.0.1:7421 127.0.0.1:7422 127.0.0.1:7431 127.0.0.1:7432"
+# All ports of a set begin with PORTS. Another value than 7 needs settings of
+# its own, which scripts/prove-set.sh writes.
+PORTS=${PORTS:-7}
+ADMINS="127.0.0.1:${PORTS}411 127.0.0.1:${PORTS}412 127.0.0.1:${PORTS}421
+  127.0.0.1:${PORTS}422 127.0.0.1:${PORTS}431 127.0.0.1:${PORTS}432"
+
+# Other scripts may define these three anew after reading this file.
+config_of() { :; }                                      # site number: options that name settings
+admins_of() { echo "$ADMINS"; }                         # site number: whom its upstreams announce to
+address_of() { echo "127.0.0.1:$((${PORTS}600 + $1))"; } # upstream number: what it announces
 
 start() {
   name=$1
   shift
-  "$@" >"$RUN/$name.log" 2>&1 &
+  "$@" >>"$RUN/$name.log" 2>&1 &
   echo $! >"$RUN/$name.pid"
 }
 
-announce_to() {
-  for a in $ADMINS; do printf -- '--announce %s ' "$a"; done
+announce_to() { # site number
+  for a in $(admins_of "$1"); do printf -- '--announce %s ' "$a"; done
 }
 
-start_upstream() { # service index site role
-  port=$((7600 + $5 * 10 + $2))
-  admin=$((7700 + $5 * 10 + $2))
-  if [ "$2" = 1 ]; then
-    role=--primary
-  else
-    role="--follow 127.0.0.1:$((7600 + $5 * 10 + 1))"
-  fi
+start_control() { # number [option]
+  number=$1
+  shift
+  # shellcheck disable=SC2046
+  start "muscat-$number-control" "$BIN/kingcupknotd" $(config_of "$number") \
+    --vm "muscat-$number-control" --data "$RUN/data-$number" "$@"
+}
+
+start_entry() { # site number, entry number
+  # shellcheck disable=SC2046
+  start "muscat-$1-entry-$2" "$BIN/kingcupknotd" $(config_of "$1") --vm "muscat-$1-entry-$2"
+}
+
+# start_upstream starts an instance as the primary, or as a replica of the
+# instance with the index given last.
+start_upstream() { # service, index, service number [index to follow]
+  n=$(($3 * 10 + $2))
+  role=--primary
+  if [ -n "${4:-}" ]; then role="--follow $(address_of $(($3 * 10 + $4)))"; fi
   # shellcheck disable=SC2046,SC2086
   start "$1-$2" "$BIN/kingcupknot-upstream" --service "$1" --instance "$1-$2" \
-    --site "$3" --listen "127.0.0.1:$port" --admin "127.0.0.1:$admin" $role \
-    --slots 3 --connections 20 --connect-time 10ms --lag "${LAG:-20ms}" $(announce_to)
+    --site "muscat-$2" --listen "127.0.0.1:$((${PORTS}600 + n))" \
+    --admin "127.0.0.1:$((${PORTS}700 + n))" --advertise "$(address_of "$n")" $role \
+    --slots 3 --connections 20 --connect-time 10ms --lag "${LAG:-20ms}" $(announce_to "$2")
 }
 
 start_set() {
   rm -rf "$RUN"
   mkdir -p "$RUN"
+  for i in 1 2 3; do start_control "$i" --bootstrap; done
   for i in 1 2 3; do
-    start "muscat-$i-control" "$BIN/kingcupknotd" --vm "muscat-$i-control" \
-      --data "$RUN/data-$i" --bootstrap
-  done
-  for i in 1 2 3; do
-    for j in 1 2; do
-      start "muscat-$i-entry-$j" "$BIN/kingcupknotd" --vm "muscat-$i-entry-$j"
-    done
+    for j in 1 2; do start_entry "$i" "$j"; done
   done
-  n=0
+  number=0
   for service in orders stock workshops; do
-    n=$((n + 1))
-    for i in 1 2 3; do start_upstream "$service" "$i" "muscat-$i" x "$n"; done
+    number=$((number + 1))
+    start_upstream "$service" 1 "$number"
+    start_upstream "$service" 2 "$number" 1
+    start_upstream "$service" 3 "$number" 1
   done
 }
 
@@ -54,6 +72,7 @@
   for f in "$RUN"/*.pid; do
     [ -f "$f" ] || continue
     kill "$(cat "$f")" 2>/dev/null || true
+    kill -CONT "$(cat "$f")" 2>/dev/null || true
   done
   for f in "$RUN"/*.pid; do
     [ -f "$f" ] || continue
