prove: add make prove with seeded tests and a summary

One command runs the seeded tests from a chosen base and then the runs of real processes in two lanes. A fault that was never caused fails the run, since it proves nothing.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 BIN := $(CURDIR)/bin
 TOOLS := gofumpt goimports staticcheck revive errcheck
 PACKAGES := ./...
+SEEDS ?= 20
+SEED_BASE ?= 1
 
 .PHONY: build
 build:
@@ -46,3 +48,7 @@
 .PHONY: down
 down:
 	sh scripts/down.sh
+
+.PHONY: prove
+prove: build
+	SEEDS=$(SEEDS) SEED_BASE=$(SEED_BASE) sh scripts/prove.sh
--- a/scripts/prove-changes.sh
+++ b/scripts/prove-changes.sh
@@ -158,6 +158,7 @@
 
 # run_rolling restarts everything by SIGTERM, one after the other.
 run_rolling() {
+  : "${PARTS:=entries controls upstreams}"
   begin
   start_load 34s token --move
   for i in 1 2 3; do
--- /dev/null
+++ b/scripts/prove.sh
@@ -0,0 +1,87 @@
+#!/bin/sh
+# Proves what must always hold: seeded tests in virtual time from a chosen
+# base, then runs of real processes. Prints what was run, which faults were
+# caused, and each violation with the command that replays it. Exits non-zero
+# on a violation, on a run that failed, and on a fault that was never caused.
+set -u
+SEEDS=${SEEDS:-20}
+SEED_BASE=${SEED_BASE:-1}
+GO=${GO:-go}
+OUT=${OUT:-run/prove}
+# Two lanes of runs side by side, each with ports of its own.
+FIRST="primary entry freeze connections control-frozen leave operators"
+SECOND="cut control-killed disk rolling"
+KINDS="kill-primary two-failovers two-primaries kill-entry kill-entry-and-primary
+  freeze-entry freeze-primary-0.2s freeze-primary-1s freeze-primary-3s
+  freeze-leader freeze-leader-and-kill-primary kill-leader kill-member
+  kill-leader-in-change lose-disk lose-second-after-repair cut-vms cut-site
+  cut-and-kill-primary race resend leave-replica leave-primary planned-stop"
+children=""
+
+# stop_lanes ends the lanes, each of which ends its set by its own trap.
+stop_lanes() {
+  for c in $children; do kill -TERM "$c" 2>/dev/null; done
+  for c in $children; do wait "$c" 2>/dev/null; done
+}
+trap stop_lanes EXIT
+trap 'exit 1' INT TERM
+
+# seeded runs a package's seeded tests.
+seeded() { # package, tests, flags
+  package=$1 tests=$2
+  shift 2
+  command="$GO test $package -count=1 -run $tests $*"
+  if ! $command -v >"$OUT/seeded.log" 2>&1; then
+    grep -E '^ +[a-z_]+\.go:|^--- FAIL|^panic' "$OUT/seeded.log" | head -20
+    echo "seeded tests of $package; replay: $command" >>"$OUT/violations"
+  fi
+  grep -E ' seeds, ' "$OUT/seeded.log" | sed "s|^ *|$package: |"
+  cat "$OUT/seeded.log" >>"$OUT/tests.log"
+}
+
+# lane does runs one after the other, and ends the one in progress when asked.
+lane() { # ports, names
+  PORTS=$1
+  shift
+  export PORTS OUT
+  trap 'kill -TERM "$one" 2>/dev/null; wait "$one"; exit 1' TERM
+  for name in "$@"; do
+    sh scripts/prove-run.sh "$name" "$SEED_BASE" &
+    one=$!
+    wait "$one"
+  done
+}
+
+rm -rf "$OUT"
+mkdir -p "$OUT"
+for f in faults violations failures operations runs; do : >"$OUT/$f"; done
+echo "== seeded tests: $SEEDS seeds from $SEED_BASE"
+seeded ./node '^TestSystemHistories' -seeds "$SEEDS" -seed-base "$SEED_BASE"
+seeded ./quorum '^TestSeeds$' -seeds "$SEEDS"
+seeded ./node '^TestEntry(Invariants|Freshness)$' -rapid.seed "$SEED_BASE" -rapid.checks "$((SEEDS * 10))"
+echo "== real processes"
+# shellcheck disable=SC2086
+lane 17 $FIRST &
+children=$!
+# shellcheck disable=SC2086
+lane 18 $SECOND &
+children="$children $!"
+for c in $children; do wait "$c"; done
+children=""
+
+for name in $FIRST $SECOND; do
+  grep -qx "$name" "$OUT/runs" || echo "run $name did not end" >>"$OUT/failures"
+done
+for kind in $KINDS; do
+  grep -qx "$kind" "$OUT/faults" || echo "the fault $kind was never caused" >>"$OUT/failures"
+done
+echo "== summary"
+echo "runs: $(wc -l <"$OUT/runs") of $(echo "$FIRST $SECOND" | wc -w)"
+sed 's/.*operations=\([0-9]*\).*/\1/' "$OUT/operations" | awk '{ n += $1 } END { print "operations: " n + 0 }'
+echo "faults:"
+sort "$OUT/faults" | uniq -c
+echo "failures: $(wc -l <"$OUT/failures")"
+cat "$OUT/failures"
+echo "violations: $(wc -l <"$OUT/violations")"
+cat "$OUT/violations"
+[ ! -s "$OUT/violations" ] && [ ! -s "$OUT/failures" ]
