--- /dev/null
+++ b/node/control_survey.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"sort"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/registry"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// survey asks the instances of the group how far they are, all after the
+// fence, so that nothing acknowledged can be newer than the answers.
+func (c *Control) survey(s catalog.Service, f *failover) {
+	if f.surveyAt <= c.now && len(f.surveys) == 0 {
+		c.askAll(s, f)
+	}
+	if c.decide(s, f) {
+		return
+	}
+	if len(f.surveys) > 0 && f.surveyEnds <= c.now {
+		f.surveys = map[uint64]catalog.InstanceID{}
+		f.surveyAt = c.now.Add(surveyAgain)
+	}
+}
+
+func (c *Control) askAll(s catalog.Service, f *failover) {
+	f.answers = map[catalog.InstanceID]Surveyed{}
+	f.surveyEnds = c.now.Add(surveyTime)
+	f.surveyAt = c.now.Add(surveyAgain)
+	for _, u := range c.instancesOf(s.ID) {
+		c.surveys++
+		f.surveys[c.surveys] = u.said.Instance
+		c.emit(Survey{
+			Survey: c.surveys, Service: s.ID, Instance: u.said.Instance,
+			Address: u.said.Address, Deadline: f.surveyEnds,
+		})
+	}
+}
+
+func (c *Control) surveyed(v Surveyed) {
+	for id, f := range c.failovers {
+		if f.surveys[v.Survey] != v.Instance || f.phase != phaseSurvey {
+			continue
+		}
+		delete(f.surveys, v.Survey)
+		if v.Evidence == wire.EvidenceAlive {
+			f.answers[v.Instance] = v
+		}
+		if s, ok := c.state.Service(id); ok {
+			c.survey(s, f)
+		}
+		return
+	}
+}
+
+// decide elects the next primary if enough is known. It reports whether the
+// phase is over.
+func (c *Control) decide(s catalog.Service, f *failover) bool {
+	old := c.state.Primary(s.ID).Instance
+	if !c.enough(s, f, old) {
+		return c.abandonPlan(s, f)
+	}
+	target := c.choose(s, f, old)
+	if target == "" {
+		return c.abandonPlan(s, f)
+	}
+	c.enter(s, f, phaseElect)
+	f.target, f.from = target, old
+	if !c.propose(registry.Change{Elect: &registry.Elect{Service: s.ID, Epoch: f.epoch + 1, Instance: target}}, 0) {
+		delete(c.failovers, s.ID)
+	}
+	return true
+}
+
+// answersNeeded is the least number of answers to elect by: one, or under
+// replicated so many that every majority of the group has one among them.
+func answersNeeded(s catalog.Service) int {
+	if s.Ack != catalog.AckReplicated {
+		return 1
+	}
+	return s.Instances - (s.Instances/2 + 1) + 1
+}
+
+// enoughAnswers reports whether every majority of the group has a member among
+// the answers, so that a replicated write can't be missed, and whether no
+// better answer can be expected soon.
+func (c *Control) enoughAnswers(s catalog.Service, f *failover, old catalog.InstanceID) bool {
+	if len(f.answers) < answersNeeded(s) {
+		return false
+	}
+	if f.surveyEnds <= c.now {
+		return true
+	}
+	for _, id := range f.surveys {
+		if id != old {
+			return false
+		}
+	}
+	return true
+}
+
+// choose picks the next primary among the answers.
+func (c *Control) choose(s catalog.Service, f *failover, old catalog.InstanceID) catalog.InstanceID {
+	switch f.plan {
+	case planSwitch, planLeaving:
+		return c.chooseCaughtUp(f, old)
+	}
+	if a, ok := f.answers[old]; ok && a.Role == catalog.RolePrimary && a.Position.Term >= c.state.Primary(s.ID).Term {
+		return old
+	}
+	var ids []catalog.InstanceID
+	for id, a := range f.answers {
+		if id == old || (f.plan == planFirst && a.Role != catalog.RolePrimary) {
+			continue
+		}
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	best := catalog.InstanceID("")
+	for _, id := range ids {
+		if best == "" || f.answers[best].Held().Less(f.answers[id].Held()) {
+			best = id
+		}
+	}
+	return best
+}
+
+// chooseCaughtUp picks a replica that holds everything the old primary has.
+func (c *Control) chooseCaughtUp(f *failover, old catalog.InstanceID) catalog.InstanceID {
+	from, ok := f.answers[old]
+	if !ok {
+		return ""
+	}
+	var ids []catalog.InstanceID
+	for id := range f.answers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	for _, id := range ids {
+		u := c.upstreams[id]
+		if id == old || u == nil || !c.usable(u) || (f.target != "" && id != f.target) {
+			continue
+		}
+		if a := f.answers[id].Held(); a.Term == from.Position.Term && a.Offset >= from.Position.Offset {
+			return id
+		}
+	}
+	return ""
+}
