daemon: let the last answers leave before a drained entry ends

The listener's Serve returns without an error once a planned stop begins, and the daemon took that for the end of the stop: it closed the callers' connections with answers on their way. It now ends only when the reducer has stopped and the callers have left.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -61,7 +61,7 @@
 		}
 	})
 	telemetry.Write(s.log, false, "daemon", "Runs as control.", nil)
-	return s.wait(ctx, drain, func() {})
+	return s.wait(ctx, drain, func() {}, func() {})
 }
 
 // askHere answers a command from the own reducer, or passes it to the leader.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -129,8 +129,8 @@
 }
 
 // wait returns when the daemon is stopped. A drain asks the reducer to stop
-// and gives it the time of the settings.
-func (s *shared) wait(ctx context.Context, drain <-chan struct{}, begin func()) error {
+// and gives it the time of the settings; begin runs before and end after that.
+func (s *shared) wait(ctx context.Context, drain <-chan struct{}, begin, end func()) error {
 	select {
 	case <-ctx.Done():
 		return nil
@@ -145,6 +145,9 @@
 	case <-ctx.Done():
 		return nil
 	case err := <-s.stopped:
+		if err == nil {
+			end()
+		}
 		return err
 	case <-time.After(s.options.Settings.Timings.Drain + time.Second):
 		return errors.New("the stop took longer than settings allow")
