--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -1,7 +1,8 @@
 package node
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/registry"
@@ -82,10 +83,10 @@
 }
 
 // enoughAnswers reports whether every majority of the group has a member among
-// the answers, so that a replicated write can't be missed, and whether no
-// better answer can be expected soon.
+// the eligible answers, so that a replicated write can't be missed, and whether
+// no better answer can be expected soon.
 func (c *Control) enoughAnswers(s catalog.Service, f *failover, old catalog.InstanceID) bool {
-	if len(f.answers) < answersNeeded(s) {
+	if f.plan != planFirst && len(c.eligible(s, f)) < answersNeeded(s) {
 		return false
 	}
 	if f.surveyEnds <= c.now {
@@ -105,19 +106,12 @@
 	case planSwitch, planLeaving:
 		return c.chooseCaughtUp(f, old)
 	}
-	if a, ok := f.answers[old]; ok && a.Role == catalog.RolePrimary && a.Position.Term >= c.state.Primary(s.ID).Term {
+	term := c.state.Primary(s.ID).Term
+	if a, ok := f.answers[old]; ok && a.Role == catalog.RolePrimary && a.Position.Term >= term {
 		return old
 	}
-	var ids []catalog.InstanceID
-	for id, a := range f.answers {
-		if id == old || (f.plan == planFirst && a.Role != catalog.RolePrimary) {
-			continue
-		}
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	best := catalog.InstanceID("")
-	for _, id := range ids {
+	for _, id := range c.eligible(s, f) {
 		if best == "" || f.answers[best].Held().Less(f.answers[id].Held()) {
 			best = id
 		}
@@ -125,18 +119,30 @@
 	return best
 }
 
+// eligible lists the instances that answered and could lead the group, in
+// order. A primary of an older term was left behind: it can't begin a term
+// before it has followed, so what only it holds must not be counted on.
+func (c *Control) eligible(s catalog.Service, f *failover) []catalog.InstanceID {
+	term := c.state.Primary(s.ID).Term
+	var ids []catalog.InstanceID
+	for _, id := range slices.Sorted(maps.Keys(f.answers)) {
+		a := f.answers[id]
+		isPrimary := a.Role == catalog.RolePrimary
+		if f.plan == planFirst && !isPrimary || isPrimary && a.Position.Term < term {
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // chooseCaughtUp picks a replica that holds everything the old primary has.
 func (c *Control) chooseCaughtUp(f *failover, old catalog.InstanceID) catalog.InstanceID {
 	from, ok := f.answers[old]
 	if !ok {
 		return ""
 	}
-	var ids []catalog.InstanceID
-	for id := range f.answers {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(f.answers)) {
 		u := c.upstreams[id]
 		if id == old || u == nil || !c.usable(u) || (f.target != "" && id != f.target) {
 			continue
--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -368,11 +368,16 @@
 		if u.dead || from.role != catalog.RolePrimary || from.term <= u.term {
 			return
 		}
+		all := u.log
+		if isPrefix(u.log, u.received) {
+			all = u.received
+		}
 		n := 0
-		for n < len(u.log) && n < len(from.log) && u.log[n] == from.log[n] {
+		for n < len(all) && n < len(from.log) && all[n] == from.log[n] {
 			n++
 		}
-		u.log, u.role, u.from, u.received = u.log[:n:n], catalog.RoleReplica, from.id, nil
+		u.received, u.log = all[:n:n], u.log[:min(n, len(u.log))]
+		u.role, u.from = catalog.RoleReplica, from.id
 	})
 }
 
