node: let reports grow with use, not with the services known

Every report named every service, observation and want each 100 ms. An entry now subscribes to a service only while it has callers or observes it; only observers tell what they see; a healthy observation that the present leader is known to have taken is repeated once a second, and Report.AliveWithin keeps what is left out from reading as silence.

--- a/node/control_report.go
+++ b/node/control_report.go
@@ -18,8 +18,10 @@
 	// seenAt is when the report with that sequence arrived.
 	seenAt   catalog.Instant
 	settings catalog.Version
-	leaving  bool
-	services []catalog.ServiceID
+	// aliveWithin is that of the report.
+	aliveWithin time.Duration
+	leaving     bool
+	services    []catalog.ServiceID
 	// leases says until when the entry may acknowledge writes of an epoch.
 	leases map[catalog.ServiceID]leaseView
 	// grants holds what was given for each upstream.
@@ -37,6 +39,8 @@
 	evidence wire.Evidence
 	// at is when the evidence was gathered.
 	at catalog.Instant
+	// notedAt is when the report with it arrived.
+	notedAt catalog.Instant
 	// aliveAt is when the upstream last answered; zero if it never did.
 	aliveAt  catalog.Instant
 	role     catalog.Role
@@ -89,6 +93,7 @@
 	}
 	v.life, v.sequence, v.seenAt = r.Life, r.Sequence, c.now
 	v.settings, v.leaving, v.services = r.Settings, r.Leaving, r.Services
+	v.aliveWithin = r.AliveWithin
 	for _, a := range r.Instances {
 		c.heard(a)
 	}
@@ -121,7 +126,7 @@
 func (c *Control) observe(vm catalog.VMID, list []wire.Observation) bool {
 	bad := false
 	for _, o := range list {
-		seen := observation{evidence: o.Evidence, at: c.now.Add(-o.Age), role: o.Role, position: o.Position}
+		seen := observation{evidence: o.Evidence, at: c.now.Add(-o.Age), notedAt: c.now, role: o.Role, position: o.Position}
 		if o.AliveAge >= 0 {
 			seen.aliveAt = c.now.Add(-o.AliveAge)
 		}
@@ -137,6 +142,15 @@
 	return bad
 }
 
+// lastAlive is when an upstream last answered the entry. Reports leave out a
+// healthy one that an earlier report told of shortly before.
+func (v *entryView) lastAlive(o observation) catalog.Instant {
+	if v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.seenAt.Sub(o.notedAt) > 2*repeatHealthy {
+		return o.aliveAt
+	}
+	return max(o.aliveAt, v.seenAt.Add(-v.aliveWithin))
+}
+
 // answer sends an entry its leases, grants and settings. A pushed answer
 // repeats the sequence of the last report, so that lengths count from there.
 func (c *Control) answer(vm catalog.VMID, v *entryView, renew bool) {
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		sites[v.site] = true
-		lastAlive = max(lastAlive, o.aliveAt)
+		lastAlive = max(lastAlive, v.lastAlive(o))
 		if o.evidence == wire.EvidenceRefused && o.at >= o.aliveAt {
 			refused[v.site] = true
 			lastRefused = max(lastRefused, o.at)
--- a/node/entry.go
+++ b/node/entry.go
@@ -174,6 +174,7 @@
 // settleService may skip a service until its next event or deadline, so what
 // hangs on time in it must ask for a wake.
 func (e *Entry) settleService(s *entryService) {
+	e.subscribe(s)
 	e.settleLease(s)
 	e.forget(s)
 	for _, i := range s.instances {
--- a/node/entry_bench_test.go
+++ b/node/entry_bench_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -64,20 +65,29 @@
 }
 
 // BenchmarkEntryReports measures an idle entry's second: bytes that leave and
-// the processor time that the steps take.
+// the processor time that the steps take, with every entry observing and with
+// two of a site's sixteen.
 func BenchmarkEntryReports(b *testing.B) {
-	for _, services := range []int{3, 30, 300} {
-		b.Run(strconv.Itoa(services), func(b *testing.B) {
-			w := newSizeWorld(services, nil)
-			w.run(3 * time.Second)
-			w.reported, w.relayed = 0, 0
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				w.run(time.Second)
-			}
-			b.ReportMetric(float64(w.reported)/float64(b.N), "report-B/s")
-			b.ReportMetric(float64(w.relayed)/float64(b.N), "relay-B/s")
-		})
+	two := func(o *EntryOptions) {
+		o.Observers = 2
+		for n := range 15 {
+			o.Neighbours = append(o.Neighbours, catalog.VMID(fmt.Sprintf("entry-%04d", n+2)))
+		}
+	}
+	for name, change := range map[string]func(*EntryOptions){"all": nil, "two-of-16": two} {
+		for _, services := range []int{3, 30, 300} {
+			b.Run(fmt.Sprint(name, "/", services), func(b *testing.B) {
+				w := newSizeWorld(services, change)
+				w.run(3 * time.Second)
+				w.reported, w.relayed = 0, 0
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					w.run(time.Second)
+				}
+				b.ReportMetric(float64(w.reported)/float64(b.N), "report-B/s")
+				b.ReportMetric(float64(w.relayed)/float64(b.N), "relay-B/s")
+			})
+		}
 	}
 }
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -192,7 +192,7 @@
 		return
 	}
 	e.closeIdle(i)
-	if !i.service.accepted {
+	if !i.service.isSubscribed {
 		e.closeSome(i, len(i.conns), connIdle)
 	}
 	if !e.takesWork(i) || i.announcement.Address == "" {
@@ -266,7 +266,6 @@
 	keep := 1
 	if e.inUse(i.service) {
 		keep = 2
-		e.wake(i.service.used.Add(usedBound))
 	}
 	for k := len(i.conns) - 1; k >= 0 && i.open() > keep; k-- {
 		c := i.conns[k]
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -17,7 +17,11 @@
 		i = s.addInstance(a.Instance)
 	}
 	if direct && (i.direct.Instance == "" || a.Newer(i.direct)) {
-		e.tell(i, a)
+		if same(i.direct, a) && !s.isObserved && e.now.Before(i.saidAt.Add(relayInterval)) {
+			i.direct = a
+		} else {
+			e.tell(i, a)
+		}
 	}
 	if !isNew && !a.Newer(i.announcement) {
 		return
@@ -45,7 +49,13 @@
 	if !i.pending {
 		e.report.pending = append(e.report.pending, i)
 	}
-	i.direct, i.pending, i.includedIn = a, true, 0
+	i.direct, i.pending, i.includedIn, i.saidAt = a, true, 0, e.now
+}
+
+// same reports whether a later announcement differs in nothing but its position.
+func same(old, a catalog.Announcement) bool {
+	a.Sequence, a.Position = old.Sequence, old.Position
+	return a == old
 }
 
 // restart forgets what was known of an earlier life of the upstream, which may
@@ -124,7 +134,7 @@
 
 // takesWork reports whether new work may go to the upstream.
 func (e *Entry) takesWork(i *entryInstance) bool {
-	return i.service.accepted && !i.isLeft && e.now.Before(i.heard.Add(e.options.Timings.Announce))
+	return i.service.isSubscribed && !i.isLeft && e.now.Before(i.heard.Add(e.options.Timings.Announce))
 }
 
 // observes reports whether this entry is one of the observers of a service
--- a/node/entry_lease.go
+++ b/node/entry_lease.go
@@ -145,7 +145,9 @@
 	}
 	if s.unledSince == 0 {
 		s.unledSince = e.now
-		e.count("leases-lost")
+		if s.isSubscribed {
+			e.count("leases-lost")
+		}
 	}
 }
 
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -23,7 +23,7 @@
 	if i.service.primary.Instance != i.id {
 		return
 	}
-	e.report.urgent = true
+	e.report.urgent = e.report.urgent || i.service.isObserved
 	if v == wire.EvidenceRefused && !wasRefused {
 		i.confirm, i.nextProbe = true, e.now
 	}
@@ -38,7 +38,7 @@
 	due := i.nextProbe
 	if after, wanted := e.probeWanted(i); wanted {
 		due = min(i.probedAt.Add(after), i.nextProbe)
-	} else if !e.observes(i.service.id) && !e.inUse(i.service) {
+	} else if !i.service.isSubscribed {
 		return
 	}
 	var idle *entryConn
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -33,6 +33,18 @@
 	urgent     bool
 	// pending are the instances whose announcement control has to hear.
 	pending []*entryInstance
+	// taken are the reports that the present leader answered.
+	taken map[uint64]bool
+	// listed are the services that reports speak of, ascending by id.
+	listed []*entryService
+}
+
+// setLeader notes who leads. A new leader knows nothing of what was told.
+func (p *entryReports) setLeader(vm catalog.VMID) {
+	if vm != p.leader {
+		p.leader = vm
+		clear(p.taken)
+	}
 }
 
 // newEntryReports starts the sequence at a number drawn from the life, so that
@@ -43,7 +55,7 @@
 		b[n] = byte(life >> (8 * n))
 	}
 	start := xxhash.Sum64(b[:]) >> 16
-	return entryReports{sequence: start, answered: start, sent: map[uint64]catalog.Instant{}}
+	return entryReports{sequence: start, answered: start, sent: map[uint64]catalog.Instant{}, taken: map[uint64]bool{}}
 }
 
 func (e *Entry) settleReport() {
@@ -77,9 +89,10 @@
 	p.next = e.now.Add(e.options.Timings.Report)
 	p.sent[p.sequence] = e.now
 	delete(p.sent, p.sequence-reportsKept)
+	delete(p.taken, p.sequence-reportsKept)
 	p.unanswered++
 	if p.unanswered > leaderReports {
-		p.leader = ""
+		p.setLeader("")
 	}
 	m := e.buildReport()
 	if p.leader != "" {
@@ -96,39 +109,31 @@
 		VM: e.options.VM, Site: e.options.Site, Life: e.options.Life,
 		Sequence: e.report.sequence, Settings: e.version, Leaving: e.leaving && !e.writes(),
 	}
-	for _, id := range e.order {
-		s := e.services[id]
-		if s.accepted {
-			m.Services = append(m.Services, id)
+	for _, s := range e.report.listed {
+		if s.isSubscribed {
+			m.Services = append(m.Services, s.id)
 		}
 		for _, i := range s.instances {
-			e.reportInstance(m, s, i)
+			if s.isObserved && s.accepted {
+				e.reportObservation(m, i)
+			}
+			e.reportWant(m, i)
 		}
 	}
+	e.reportAnnouncements(m)
 	return m
 }
 
-func (e *Entry) reportInstance(m *wire.Report, s *entryService, i *entryInstance) {
-	if i.pending {
+func (e *Entry) reportAnnouncements(m *wire.Report) {
+	for _, i := range e.report.pending {
+		if !i.pending {
+			continue
+		}
 		m.Instances = append(m.Instances, i.direct)
 		if i.includedIn == 0 {
 			i.includedIn = m.Sequence
 		}
 	}
-	if !s.accepted {
-		return
-	}
-	if e.observes(s.id) {
-		m.Observations = append(m.Observations, e.observation(i))
-	}
-	e.noteDemand(i)
-	wanted := e.wanted(i)
-	i.wantedTold = wanted
-	if wanted > 0 || len(i.conns) > 0 {
-		m.Wants = append(m.Wants, wire.Want{
-			Service: s.id, Instance: i.id, Held: len(i.conns), Wanted: wanted,
-		})
-	}
 }
 
 func (e *Entry) observation(i *entryInstance) wire.Observation {
@@ -162,7 +167,9 @@
 	if a.Sequence < p.answered {
 		return
 	}
-	p.answered, p.answeredAt, p.unanswered, p.leader = a.Sequence, sent, 0, from
+	p.answered, p.answeredAt, p.unanswered = a.Sequence, sent, 0
+	p.setLeader(from)
+	p.taken[a.Sequence] = true
 	for n := range p.sent {
 		if n <= a.Sequence {
 			delete(p.sent, n)
@@ -186,9 +193,9 @@
 	if a.Leader == p.leader && a.Leader != "" {
 		return
 	}
-	p.leader = ""
+	p.setLeader("")
 	if a.Leader != "" && a.Leader != from {
-		p.leader = a.Leader
+		p.setLeader(a.Leader)
 		p.urgent = p.unanswered <= leaderReports
 	}
 }
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -21,6 +21,7 @@
 	}
 	e.touch(s)
 	s.used, s.wasUsed = e.now, true
+	e.subscribe(s)
 	s.tokens = min(s.tokens+retryShare, retryBurst)
 	e.count("requests")
 	if v.Kind == KindInside {
--- a/node/entry_size_test.go
+++ b/node/entry_size_test.go
@@ -20,8 +20,12 @@
 	number uint64
 	// reported and relayed count the bytes of messages that left.
 	reported, relayed int
-	// spoken is how many Step calls there were.
-	spoken int
+	reports           []*wire.Report
+	answers           map[catalog.RequestID]AnswerRequest
+	// leader answers reports unless it is deaf; silent does not answer.
+	leader catalog.VMID
+	deaf   bool
+	silent catalog.InstanceID
 }
 
 type sizeEvent struct {
@@ -52,7 +56,10 @@
 	if change != nil {
 		change(&o)
 	}
-	w := &sizeWorld{entry: NewEntry(o), now: catalog.Instant(time.Second)}
+	w := &sizeWorld{
+		entry: NewEntry(o), now: catalog.Instant(time.Second), leader: "control-0",
+		answers: map[catalog.RequestID]AnswerRequest{},
+	}
 	for n := range services {
 		for k := range 3 {
 			w.announce(n, k, true)
@@ -142,21 +149,30 @@
 }
 
 func (w *sizeWorld) step(in Input) {
-	w.spoken++
 	for _, x := range w.entry.Step(Event{Now: w.now, Input: in}) {
 		switch v := x.(type) {
 		case SetTimer:
 			w.timer = v.At
 		case OpenConn:
+			if v.Instance == w.silent {
+				w.after(v.Deadline.Sub(w.now), ConnLost{Conn: v.Conn, Evidence: wire.EvidenceSilent})
+				continue
+			}
 			w.after(sizeWay, ConnOpened{Conn: v.Conn})
 		case CloseConn:
 			w.after(0, ConnLost{Conn: v.Conn})
 		case Probe:
 			c := w.entry.conns[v.Conn]
+			if c.instance.id == w.silent {
+				w.after(v.Deadline.Sub(w.now), ProbeDone{Conn: v.Conn, SentAt: w.now, Evidence: wire.EvidenceSilent})
+				continue
+			}
 			w.after(sizeWay, ProbeDone{
 				Conn: v.Conn, SentAt: w.now, Evidence: wire.EvidenceAlive,
-				Role: sizeRoleOf(c.instance), Position: w.position(),
+				Role: c.instance.announcement.Role, Position: w.position(),
 			})
+		case AnswerRequest:
+			w.answers[v.Request] = v
 		case RunRequest:
 			w.after(sizeWay, RequestDone{Request: v.Request, Conn: v.Conn, Reusable: true})
 		case SendPeer:
@@ -165,8 +181,6 @@
 	}
 }
 
-func sizeRoleOf(i *entryInstance) catalog.Role { return i.announcement.Role }
-
 func (w *sizeWorld) send(v SendPeer) {
 	data, err := link.Encode(v.Message)
 	if err != nil {
@@ -175,8 +189,11 @@
 	switch m := v.Message; {
 	case m.Report != nil:
 		w.reported += len(data)
-		if v.To == "control-0" {
-			w.after(2*sizeWay, PeerReceived{From: "control-0", Message: wire.Message{Answer: w.answer(m.Report)}})
+		if n := len(w.reports); n == 0 || w.reports[n-1] != m.Report {
+			w.reports = append(w.reports, m.Report)
+		}
+		if v.To == w.leader && !w.deaf {
+			w.after(2*sizeWay, PeerReceived{From: w.leader, Message: wire.Message{Answer: w.answer(m.Report)}})
 		}
 	case m.Announcement != nil:
 		w.relayed += len(data)
@@ -184,7 +201,7 @@
 }
 
 func (w *sizeWorld) answer(m *wire.Report) *wire.Answer {
-	a := &wire.Answer{Leader: "control-0", Sequence: m.Sequence, Version: m.Settings}
+	a := &wire.Answer{Leader: w.leader, Sequence: m.Sequence, Version: m.Settings}
 	for _, id := range m.Services {
 		var n int
 		if _, err := fmt.Sscanf(string(id), "service-%d", &n); err != nil {
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -14,6 +14,7 @@
 	timerFloor      = time.Millisecond
 	urgentReport    = 5 * time.Millisecond
 	relayInterval   = time.Second
+	repeatHealthy   = time.Second
 	probesSpared    = 5
 	idleBound       = 10 * time.Second
 	usedBound       = time.Minute
@@ -80,6 +81,12 @@
 	// serve is the smoothed time that a request takes at an upstream.
 	serve time.Duration
 
+	// isObserved is set if this entry is one of the service's observers.
+	isObserved bool
+	// isSubscribed is set while the entry observes the service or has callers
+	// of it, isListed while reports speak of it.
+	isSubscribed bool
+	isListed     bool
 	// isTouched is set while the service waits for being settled in this step.
 	isTouched bool
 	// wakeAt is when it must be settled next, and wakeSlot its place in the
@@ -107,8 +114,10 @@
 	direct     catalog.Announcement
 	pending    bool
 	includedIn uint64
-	relayedAt  catalog.Instant
-	relayed    bool
+	// saidAt is when an announcement was last given to the reports.
+	saidAt    catalog.Instant
+	relayedAt catalog.Instant
+	relayed   bool
 	// isLeft is set once the upstream has said that it is leaving. Invariant:
 	// it stays set for that life.
 	isLeft bool
@@ -141,6 +150,12 @@
 	demand      [2]int
 	demandUntil catalog.Instant
 	wantedTold  int
+	// told, toldRole, toldAt and toldIn are of the last report that had an
+	// observation of the upstream.
+	told     wire.Evidence
+	toldRole catalog.Role
+	toldAt   catalog.Instant
+	toldIn   uint64
 
 	nextProbe catalog.Instant
 	// probeConn carries the probe in flight, zero if none is.
@@ -233,6 +248,7 @@
 		return s
 	}
 	s := &entryService{id: id, tokens: retryBurst, serve: firstServeGuess, unledSince: e.now}
+	s.isObserved = e.observes(id)
 	e.services[id] = s
 	e.touch(s)
 	n := sort.Search(len(e.order), func(i int) bool { return e.order[i] >= id })
--- a/wire/message.go
+++ b/wire/message.go
@@ -84,6 +84,10 @@
 	// Instances are announcements the entry heard since the last report that
 	// was answered.
 	Instances []catalog.Announcement `cbor:"10,keyasint,omitempty"`
+	// AliveWithin, if not zero, says that Observations leaves out upstreams
+	// that an earlier report told of as alive and that answered the entry
+	// within this time. An entry tells of each at least once a second.
+	AliveWithin time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Lease lets an entry acknowledge writes that ran under one epoch.
