node: drop log in flight in the proof when its instance is cut back

A replica of the proof applied log it had pulled before it was told to follow another primary, if that one was the upstream it had pulled from in an earlier term: it compared the name only. So old records came back behind the cut, under the new term, which no replica does that is cut back to the common log. A count of the cuts is compared instead. Nothing that the proof checks is changed.

--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -28,6 +28,8 @@
 		log      []record
 		received []record
 		from     catalog.InstanceID
+		// follows counts the cuts back to another's log.
+		follows int
 		// pull is the time between two pulls of the log, lag that until what
 		// was pulled shows.
 		pull, lag time.Duration
@@ -123,13 +125,13 @@
 	if from.role != catalog.RolePrimary || from.term < u.term {
 		return
 	}
-	log, term, life := slices.Clone(from.log), from.term, u.life
+	log, term, life, follows := slices.Clone(from.log), from.term, u.life, u.follows
 	if !isPrefix(u.log, log) {
 		return
 	}
 	u.received, u.term = log, term
 	w.after(u.lag, func() {
-		if u.life == life && u.from == from.id && u.role != catalog.RolePrimary && w.now >= u.thawAt && isPrefix(u.log, log) {
+		if u.life == life && u.follows == follows && u.role != catalog.RolePrimary && w.now >= u.thawAt && isPrefix(u.log, log) {
 			u.log = log
 		}
 	})
@@ -360,6 +362,7 @@
 		if u.dead || from.role != catalog.RolePrimary || from.term <= u.term {
 			return
 		}
+		u.follows++
 		n := 0
 		for n < len(u.log) && n < len(from.log) && u.log[n] == from.log[n] {
 			n++
