node: serve a restarted entry by what its neighbours serve

An entry that restarted in a cut-off site had no configuration, or one of its own disk that neighbours may have left behind. It now asks other entries, own site first and one at a time, takes the highest version, and refuses requests until control or the neighbours have confirmed it. The primaries come along, so that replicas can be read; leases do not.

In the fake world of the scripts, checkConns passes over a service that the entry does not know yet: a new entry has none.

--- a/node/entry.go
+++ b/node/entry.go
@@ -26,7 +26,8 @@
 	Observers int
 	// Queue is the most requests that wait per service.
 	Queue int
-	// Settings and Version are the last accepted configuration known.
+	// Settings and Version are the last accepted configuration known. It comes
+	// into force once control or a neighbour has confirmed or replaced it.
 	Settings []catalog.Service
 	Version  catalog.Version
 }
@@ -54,6 +55,7 @@
 
 	report   entryReports
 	schedule entrySchedule
+	catchUp  entryCatchUp
 	// timerAt is the instant last asked for, zero if none is pending.
 	timerAt catalog.Instant
 	// wakeAt collects the earliest deadline during a step, zero if none.
@@ -90,6 +92,7 @@
 	e.options.Peers = sortedVMs(o.Peers)
 	e.siteVMs = sortedVMs(append([]catalog.VMID{o.VM}, o.Neighbours...))
 	e.report = newEntryReports(o.Life)
+	e.catchUp = newEntryCatchUp(o, e.siteVMs, e.options.Peers)
 	for _, c := range o.Settings {
 		e.configure(c)
 	}
@@ -154,6 +157,10 @@
 		e.takeRevoke(v.From, *m.Revoke)
 	case m.Announcement != nil:
 		e.takeAnnouncement(*m.Announcement, false)
+	case m.SettingsAsk != nil:
+		e.answerSettings(v.From, *m.SettingsAsk)
+	case m.Settings != nil:
+		e.takePeerSettings(v.From, *m.Settings)
 	}
 }
 
@@ -166,6 +173,7 @@
 		e.wakeService(s, e.wakeAt)
 	}
 	e.wakeAt = e.firstWake()
+	e.settleCatchUp()
 	e.settleDrain()
 	e.settleReport()
 	e.settleTimer()
--- a/node/entry_expect_test.go
+++ b/node/entry_expect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 )
@@ -59,6 +60,8 @@
 		w.probes[id] = 0
 	case "verified":
 		got, args = fmt.Sprint(w.verified[request(args[1])]), args[1:]
+	case "reason":
+		got, args = strings.ReplaceAll(w.answers[request(args[1])].Reason, " ", "-"), args[1:]
 	case "version":
 		got = fmt.Sprint(w.entry.version)
 	case "stopped":
--- a/node/entry_fake_test.go
+++ b/node/entry_fake_test.go
@@ -52,6 +52,7 @@
 	probes    map[catalog.InstanceID]int
 	verified  map[catalog.RequestID]int
 	stopped   bool
+	peers     map[catalog.VMID]*fakePeer
 	// onRead, if set, is told where a read's answer came from.
 	onRead func(RequestArrived, catalog.Position)
 }
@@ -75,6 +76,7 @@
 		ran: map[catalog.RequestID]string{}, answers: map[catalog.RequestID]AnswerRequest{},
 		leases: map[catalog.Epoch]catalog.Instant{}, grants: map[catalog.InstanceID][]fakeGrant{}, lease: true,
 		probes: map[catalog.InstanceID]int{}, verified: map[catalog.RequestID]int{},
+		peers: map[catalog.VMID]*fakePeer{},
 	}
 }
 
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -27,10 +27,12 @@
 	answered   uint64
 	answeredAt catalog.Instant
 	unanswered int
-	last       catalog.Instant
-	wasSent    bool
-	next       catalog.Instant
-	urgent     bool
+	// wasAnswered is set once a leader answered a report.
+	wasAnswered bool
+	last        catalog.Instant
+	wasSent     bool
+	next        catalog.Instant
+	urgent      bool
 	// pending are the instances whose announcement control has to hear.
 	pending []*entryInstance
 	// taken are the reports that the present leader answered.
@@ -167,7 +169,7 @@
 	if a.Sequence < p.answered {
 		return
 	}
-	p.answered, p.answeredAt, p.unanswered = a.Sequence, sent, 0
+	p.answered, p.answeredAt, p.unanswered, p.wasAnswered = a.Sequence, sent, 0, true
 	p.setLeader(from)
 	p.taken[a.Sequence] = true
 	for n := range p.sent {
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -15,8 +15,12 @@
 	r.Class = min(v.Class, ClassBrowse)
 	r.floorKnown = !v.FloorUnknown
 	e.requests[r.Request] = r
+	if !e.catchUp.inForce {
+		e.refuse(r, "the entry has no configuration yet", 2*e.options.Timings.Report)
+		return
+	}
 	if s == nil || !s.accepted {
-		e.refuse(r, "the service is not in the accepted configuration", e.unknownRetry())
+		e.refuse(r, "the service is not in the accepted configuration", retryMost)
 		return
 	}
 	e.touch(s)
@@ -35,15 +39,6 @@
 	s.waiting[r.Class] = append(s.waiting[r.Class], r)
 }
 
-// unknownRetry is when a service that is not known may be asked for again:
-// soon if the entry has no configuration yet.
-func (e *Entry) unknownRetry() time.Duration {
-	if e.version == 0 {
-		return 2 * e.options.Timings.Report
-	}
-	return retryMost
-}
-
 // runInside runs a statement of an open transaction on its connection.
 func (e *Entry) runInside(r *entryRequest) {
 	c := e.conns[r.Held]
--- a/node/entry_script_test.go
+++ b/node/entry_script_test.go
@@ -87,6 +87,10 @@
 	case "revoke":
 		v := &wire.Revoke{Service: "orders", Epoch: catalog.Epoch(number(args[0])), Drain: len(args) > 1}
 		w.step(PeerReceived{From: "control", Message: wire.Message{Revoke: v}})
+	case "peer":
+		w.playPeer(args)
+	case "restart":
+		w.restart(args)
 	case "drain":
 		w.step(DrainAsked{})
 	case "expect":
--- a/node/entry_world_test.go
+++ b/node/entry_world_test.go
@@ -45,6 +45,8 @@
 		w.sent = append(w.sent, "announcement")
 	case m.Report != nil:
 		w.report(*m.Report)
+	case m.SettingsAsk != nil:
+		w.askPeer(v)
 	}
 }
 
@@ -119,6 +121,9 @@
 			}
 		}
 		s := w.entry.services["orders"]
+		if s == nil {
+			continue
+		}
 		if w.upstreams[id].Site == "x" {
 			most += s.settings.Limits.LocalShare
 		}
--- a/wire/message.go
+++ b/wire/message.go
@@ -23,6 +23,8 @@
 	Announcement *catalog.Announcement `cbor:"5,keyasint,omitempty"`
 	Quorum       *Quorum               `cbor:"6,keyasint,omitempty"`
 	Join         *Join                 `cbor:"7,keyasint,omitempty"`
+	SettingsAsk  *SettingsAsk          `cbor:"8,keyasint,omitempty"`
+	Settings     *Settings             `cbor:"9,keyasint,omitempty"`
 }
 
 // Evidence says how an attempt to use an upstream ended.
@@ -131,6 +133,27 @@
 	Removed []catalog.ServiceID `cbor:"11,keyasint,omitempty"`
 }
 
+// SettingsAsk asks another entry for the accepted configuration if it has a
+// higher version.
+type SettingsAsk struct {
+	// Have is the version that the sender has, zero if none.
+	Have catalog.Version `cbor:"1,keyasint"`
+	// Starting asks for the primaries too, whatever the version.
+	Starting bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Settings is an entry's answer to SettingsAsk.
+type Settings struct {
+	Version catalog.Version `cbor:"1,keyasint"`
+	// Whole says that Services lists every service and Drained every upstream
+	// that operators keep new work from. Without it both are empty.
+	Whole    bool                 `cbor:"2,keyasint,omitempty"`
+	Services []catalog.Service    `cbor:"3,keyasint,omitempty"`
+	Drained  []catalog.InstanceID `cbor:"4,keyasint,omitempty"`
+	// Primaries are the choices of control that the sender knows.
+	Primaries []catalog.Primary `cbor:"5,keyasint,omitempty"`
+}
+
 // Join is sent by a control VM whose incarnation is not yet a member.
 type Join struct {
 	VM          catalog.VMID        `cbor:"1,keyasint"`
