--- a/node/entry.go
+++ b/node/entry.go
@@ -42,6 +42,10 @@
 	steps   uint64
 	random  uint64
 	effects []Effect
+	// counts holds the effects that add one to a counter, by name.
+	counts map[string]Effect
+	// shown and likely are reused by candidates.
+	shown, likely []*entryInstance
 
 	version catalog.Version
 	// drained lists the upstreams that operators keep new work from.
@@ -85,6 +89,7 @@
 		services:   map[catalog.ServiceID]*entryService{},
 		conns:      map[catalog.ConnID]*entryConn{},
 		requests:   map[catalog.RequestID]*entryRequest{},
+		counts:     map[string]Effect{},
 		leaseHolds: leaseValid,
 		allowed:    allowance,
 	}
@@ -227,11 +232,21 @@
 }
 
 func (e *Entry) emit(x Effect) {
+	if e.effects == nil {
+		e.effects = make([]Effect, 0, effectsUsual)
+	}
 	e.effects = append(e.effects, x)
 }
 
+// count adds one to a counter. Effects are never changed, so one for each name
+// is enough.
 func (e *Entry) count(name string) {
-	e.emit(Count{Name: name, Delta: 1})
+	x := e.counts[name]
+	if x == nil {
+		x = Count{Name: name, Delta: 1}
+		e.counts[name] = x
+	}
+	e.emit(x)
 }
 
 func (e *Entry) span(name string, r *entryRequest, from catalog.Instant) {
--- a/node/entry_bench_test.go
+++ b/node/entry_bench_test.go
@@ -74,10 +74,14 @@
 			o.Neighbours = append(o.Neighbours, catalog.VMID(fmt.Sprintf("entry-%04d", n+2)))
 		}
 	}
-	for name, change := range map[string]func(*EntryOptions){"all": nil, "two-of-16": two} {
+	cases := []struct {
+		name   string
+		change func(*EntryOptions)
+	}{{"all", nil}, {"two-of-16", two}}
+	for _, c := range cases {
 		for _, services := range []int{3, 30, 300} {
-			b.Run(fmt.Sprint(name, "/", services), func(b *testing.B) {
-				w := newSizeWorld(services, change)
+			b.Run(fmt.Sprint(c.name, "/", services), func(b *testing.B) {
+				w := newSizeWorld(services, c.change)
 				w.run(3 * time.Second)
 				w.reported, w.relayed = 0, 0
 				b.ReportAllocs()
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -63,8 +63,9 @@
 }
 
 // candidates returns the replicas shown to satisfy a read and those that
-// likely do, the best first.
+// likely do, the best first. The next call reuses both lists.
 func (e *Entry) candidates(s *entryService, r *entryRequest) (shown, likely []*entryInstance) {
+	shown, likely = e.shown[:0], e.likely[:0]
 	for _, i := range s.instances {
 		if r.primaryOnly || !e.isReplica(s, i) || !e.young(i, r.MaxAge) {
 			continue
@@ -75,14 +76,16 @@
 			likely = append(likely, i)
 		}
 	}
-	rank := func(is []*entryInstance) {
-		sort.SliceStable(is, func(a, b int) bool { return is[a].load(r) < is[b].load(r) })
-	}
-	rank(shown)
-	rank(likely)
+	e.shown, e.likely = shown, likely
+	rank(shown, r)
+	rank(likely, r)
 	return shown, likely
 }
 
+func rank(is []*entryInstance, r *entryRequest) {
+	slices.SortStableFunc(is, func(a, b *entryInstance) int { return a.load(r) - b.load(r) })
+}
+
 // load orders candidates: a failed one last, then by running requests, and at
 // equal numbers the own site first.
 func (i *entryInstance) load(r *entryRequest) int {
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -36,6 +37,9 @@
 	slowSlack       = 5 * time.Millisecond
 	limitCut        = 0.9
 	firstServeGuess = 2 * time.Millisecond
+	// effectsUsual is how many effects a step of a request has at most, as a
+	// rule.
+	effectsUsual = 8
 )
 
 // entryService is what the entry knows of one service.
@@ -289,11 +293,10 @@
 	return n
 }
 
+// without takes a request off a list, in place.
 func without(rs []*entryRequest, r *entryRequest) []*entryRequest {
-	for n, x := range rs {
-		if x == r {
-			return append(rs[:n:n], rs[n+1:]...)
-		}
+	if n := slices.Index(rs, r); n >= 0 {
+		return slices.Delete(rs, n, n+1)
 	}
 	return rs
 }
