--- a/node/control_report.go
+++ b/node/control_report.go
@@ -19,8 +19,10 @@
 	// seenAt is when the report with that sequence arrived.
 	seenAt   catalog.Instant
 	settings catalog.Version
-	leaving  bool
-	services []catalog.ServiceID
+	// aliveWithin is that of the report.
+	aliveWithin time.Duration
+	leaving     bool
+	services    []catalog.ServiceID
 	// leases says until when the entry may acknowledge writes of an epoch.
 	leases map[catalog.ServiceID]leaseView
 	// wants are those of the last report.
@@ -37,6 +39,8 @@
 	evidence wire.Evidence
 	// at is when the evidence was gathered.
 	at catalog.Instant
+	// notedAt is when the report with it arrived.
+	notedAt catalog.Instant
 	// aliveAt is when the upstream last answered; zero if it never did.
 	aliveAt  catalog.Instant
 	role     catalog.Role
@@ -115,7 +119,7 @@
 		return
 	}
 	v.life, v.sequence, v.seenAt = r.Life, r.Sequence, c.now
-	v.settings, v.leaving = r.Settings, r.Leaving
+	v.settings, v.leaving, v.aliveWithin = r.Settings, r.Leaving, r.AliveWithin
 	c.subscribe(from, v, r.Services)
 	for _, a := range r.Instances {
 		c.heard(a)
@@ -145,7 +149,7 @@
 func (c *Control) observe(vm catalog.VMID, list []wire.Observation) bool {
 	bad := false
 	for _, o := range list {
-		seen := observation{evidence: o.Evidence, at: c.now.Add(-o.Age), role: o.Role, position: o.Position}
+		seen := observation{evidence: o.Evidence, at: c.now.Add(-o.Age), notedAt: c.now, role: o.Role, position: o.Position}
 		if o.AliveAge >= 0 {
 			seen.aliveAt = c.now.Add(-o.AliveAge)
 		}
@@ -161,6 +165,15 @@
 	return bad
 }
 
+// lastAlive is when an upstream last answered the entry. Reports leave out a
+// healthy one that an earlier report told of shortly before.
+func (v *entryView) lastAlive(o observation) catalog.Instant {
+	if v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.seenAt.Sub(o.notedAt) > 2*repeatHealthy {
+		return o.aliveAt
+	}
+	return max(o.aliveAt, v.seenAt.Add(-v.aliveWithin))
+}
+
 // answer answers an entry's report with its leases, grants and settings.
 func (c *Control) answer(vm catalog.VMID, v *entryView) {
 	a := c.newAnswer(v)
--- a/node/entry.go
+++ b/node/entry.go
@@ -26,7 +26,8 @@
 	Observers int
 	// Queue is the most requests that wait per service.
 	Queue int
-	// Settings and Version are the last accepted configuration known.
+	// Settings and Version are the last accepted configuration known. It comes
+	// into force once control or a neighbour has confirmed or replaced it.
 	Settings []catalog.Service
 	Version  catalog.Version
 }
@@ -41,6 +42,10 @@
 	steps   uint64
 	random  uint64
 	effects []Effect
+	// counts holds the effects that add one to a counter, by name.
+	counts map[string]Effect
+	// shown and likely are reused by candidates.
+	shown, likely []*entryInstance
 
 	version catalog.Version
 	// drained lists the upstreams that operators keep new work from.
@@ -54,6 +59,7 @@
 
 	report   entryReports
 	schedule entrySchedule
+	catchUp  entryCatchUp
 	// timerAt is the instant last asked for, zero if none is pending.
 	timerAt catalog.Instant
 	// wakeAt collects the earliest deadline during a step, zero if none.
@@ -83,6 +89,7 @@
 		services:   map[catalog.ServiceID]*entryService{},
 		conns:      map[catalog.ConnID]*entryConn{},
 		requests:   map[catalog.RequestID]*entryRequest{},
+		counts:     map[string]Effect{},
 		leaseHolds: leaseValid,
 		allowed:    allowance,
 	}
@@ -90,6 +97,7 @@
 	e.options.Peers = sortedVMs(o.Peers)
 	e.siteVMs = sortedVMs(append([]catalog.VMID{o.VM}, o.Neighbours...))
 	e.report = newEntryReports(o.Life)
+	e.catchUp = newEntryCatchUp(o, e.siteVMs, e.options.Peers)
 	for _, c := range o.Settings {
 		e.configure(c)
 	}
@@ -154,6 +162,10 @@
 		e.takeRevoke(v.From, *m.Revoke)
 	case m.Announcement != nil:
 		e.takeAnnouncement(*m.Announcement, false)
+	case m.SettingsAsk != nil:
+		e.answerSettings(v.From, *m.SettingsAsk)
+	case m.Settings != nil:
+		e.takePeerSettings(v.From, *m.Settings)
 	}
 }
 
@@ -166,6 +178,7 @@
 		e.wakeService(s, e.wakeAt)
 	}
 	e.wakeAt = e.firstWake()
+	e.settleCatchUp()
 	e.settleDrain()
 	e.settleReport()
 	e.settleTimer()
@@ -174,6 +187,7 @@
 // settleService may skip a service until its next event or deadline, so what
 // hangs on time in it must ask for a wake.
 func (e *Entry) settleService(s *entryService) {
+	e.subscribe(s)
 	e.settleLease(s)
 	e.forget(s)
 	for _, i := range s.instances {
@@ -218,11 +232,21 @@
 }
 
 func (e *Entry) emit(x Effect) {
+	if e.effects == nil {
+		e.effects = make([]Effect, 0, effectsUsual)
+	}
 	e.effects = append(e.effects, x)
 }
 
+// count adds one to a counter. Effects are never changed, so one for each name
+// is enough.
 func (e *Entry) count(name string) {
-	e.emit(Count{Name: name, Delta: 1})
+	x := e.counts[name]
+	if x == nil {
+		x = Count{Name: name, Delta: 1}
+		e.counts[name] = x
+	}
+	e.emit(x)
 }
 
 func (e *Entry) span(name string, r *entryRequest, from catalog.Instant) {
