node: hold a read at the primary until a majority holds what it saw

Weighed: to leave it, since only acknowledged writes are promised (two agencies could then see and lose a booking), and to send such reads to replicas only (none may be new enough).

--- a/listener/relay.go
+++ b/listener/relay.go
@@ -14,6 +14,9 @@
 // errHeldTooLong is why an answer that can't be held back is given up.
 var errHeldTooLong = errors.New("the answer after the first completed statement is too large")
 
+// maxHeldRead is how much of a read's answer is held back, in bytes.
+const maxHeldRead = 256 << 10
+
 // stalePlan begins the error of a prepared statement that the upstream can't
 // run any more; only a new Parse helps.
 const stalePlan = "cached plan must not change result type"
@@ -143,12 +146,22 @@
 		return err
 	}
 	u.request.held = held
+	if u.order.Hold && len(held) > maxHeldRead {
+		u.release()
+		return nil
+	}
 	if len(held) > u.caller.server.options.MaxMessage {
 		return errHeldTooLong
 	}
 	return nil
 }
 
+// release streams an answer that is too large to be held back.
+func (u *run) release() {
+	u.caller.out.pending = append(u.caller.out.pending, u.request.held...)
+	u.request.held, u.holding = nil, false
+}
+
 // flush writes to the caller when enough gathered, or when the upstream has
 // nothing more at hand.
 func (u *run) flush() error {
--- a/listener/run.go
+++ b/listener/run.go
@@ -33,7 +33,8 @@
 	dropping bool
 	// decided is set once the answer is known to be for the caller.
 	decided bool
-	// holding is set once a completion came that waits for the verdict.
+	// holding is set once a completion came that waits for the verdict, and
+	// from the start if the order is to hold everything.
 	holding bool
 	// committed is set once a part of the batch ended a transaction.
 	committed bool
@@ -58,6 +59,7 @@
 		return
 	}
 	start := c.server.options.Now()
+	u.holding, r.held = e.Hold, nil
 	u.conn.SetDeadline(time.Time{})
 	if r.settings.Deadline > 0 {
 		u.conn.SetDeadline(c.wallTime(c.deadline(r)))
--- a/node/effect.go
+++ b/node/effect.go
@@ -58,6 +58,9 @@
 	Forks  catalog.Forks
 	// AskPosition asks for the upstream's position right behind the request.
 	AskPosition bool
+	// Hold asks the shell to hold back the whole answer until AnswerRequest,
+	// or to stream it after all if it is too large for that.
+	Hold bool
 }
 
 // Verdict says what the caller is told.
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -202,6 +202,11 @@
 			e.repeatStale(r, c)
 			return
 		}
+		if canRepeat && e.showsUnreplicated(r, v) {
+			r.doneAt, r.reached = e.now, v.Position
+			r.service.replicating = append(r.service.replicating, r)
+			return
+		}
 		e.answerDone(r)
 	case OutcomeBehind:
 		r.verifies++
@@ -218,6 +223,32 @@
 	}
 }
 
+// showsUnreplicated reports whether a read at the primary may show a write that
+// no majority holds yet, so that a failover could take it back. Its answer is
+// held back until a majority has caught up with what the primary had.
+func (e *Entry) showsUnreplicated(r *entryRequest, v RequestDone) bool {
+	return r.Kind == KindRead && r.atPrimary && r.service.settings.Ack == catalog.AckReplicated && !v.Position.Zero()
+}
+
+// endHeldRead ends a read whose answer is held back. It waits for a majority no
+// longer than a lease: with most of the group gone, reading goes on.
+func (e *Entry) endHeldRead(s *entryService, r *entryRequest) bool {
+	if !e.leaseHolds(s, r.epoch, e.now) {
+		if !e.retry(r, readTries) {
+			e.answerUnknown(r, "the primary's lease ended before the answer was given")
+		}
+		return true
+	}
+	until := min(r.Deadline, r.doneAt.Add(e.options.Timings.Lease))
+	if e.now.Before(until) && e.holders(s, r) < s.settings.Instances/2 {
+		e.wake(until)
+		return false
+	}
+	e.span("replication-wait", r, r.doneAt)
+	e.answerDone(r)
+	return true
+}
+
 // repeatStale runs a read again whose answer came from a primary that may have
 // been replaced.
 func (e *Entry) repeatStale(r *entryRequest, c *entryConn) {
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -96,7 +96,8 @@
 	if r.verify {
 		run.Floor, run.Forks = r.Floor, s.primary.Forks
 	}
-	run.AskPosition = c.writes || e.now.Sub(i.knownAt) >= e.options.Timings.Probe/2
+	run.Hold = r.Kind == KindRead && r.atPrimary && s.settings.Ack == catalog.AckReplicated
+	run.AskPosition = c.writes || run.Hold || e.now.Sub(i.knownAt) >= e.options.Timings.Probe/2
 	e.emit(run)
 }
 
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -71,7 +71,8 @@
 	// instances ascend by id.
 	instances []*entryInstance
 	waiting   [Classes][]*entryRequest
-	// replicating are writes that wait for a majority.
+	// replicating are writes, and reads at the primary, whose answers wait for
+	// a majority.
 	replicating []*entryRequest
 	// running are the requests at upstreams, in the order of their start.
 	running []*entryRequest
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -118,6 +118,9 @@
 }
 
 func (e *Entry) endReplication(s *entryService, r *entryRequest) bool {
+	if r.isRead() {
+		return e.endHeldRead(s, r)
+	}
 	if !e.leaseHolds(s, r.epoch, e.now) {
 		e.answerUnknown(r, "the primary's lease ended before a majority held the write")
 		return true
