node: switch away from a primary that announces itself no more

Entries give an upstream no new work once its announcements stop, but control changed only primaries that said they leave or that don't answer. A primary that answers and is not announced left its service without writes. It is now replaced as planned, if its own site still reports.

The proof also covers planned stops, transactions and two connections of one session.

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	c := &cluster{t: t, settings: settings.Default(), running: map[catalog.VMID]*running{}}
 	s := c.settings
-	s.Log.Level, s.VMs, s.Control.Members = "error", nil, nil
+	s.Log.Level, s.VMs, s.Control.Members = settings.LogError, nil, nil
 	s.Services = []catalog.Service{{
 		ID: "shop", Ack: catalog.AckReplicated, Instances: 3,
 		Limits: catalog.Limits{Connections: 20, Reserved: 2, Slots: 4, LocalShare: 2},
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -42,6 +42,7 @@
 			l.acked = append(l.acked, key)
 		case !isNotRun(err):
 			l.cut = append(l.cut, key)
+			l.c.t.Logf("%s ended with: %v", key, err)
 		}
 		l.mutex.Unlock()
 		if isNotRun(err) && !p.IsClosed() {
@@ -59,6 +60,7 @@
 
 // wait lets the load do some more work.
 func (l *load) wait(more int) {
+	l.c.t.Helper()
 	want := l.acknowledged() + more
 	for end := time.Now().Add(patience); l.acknowledged() < want && time.Now().Before(end); {
 		time.Sleep(pause)
@@ -116,23 +118,24 @@
 		l.check("e3")
 		c.start("e2", "")
 	})
-	t.Run("control leader", func(t *testing.T) {
-		leader := c.status("e1").Leader
-		l := c.load("control", "e1", "e3")
-		l.wait(50)
-		if err := c.stop(leader); err != nil {
-			t.Errorf("control stopped with %v", err)
-		}
-		l.wait(50)
-		if next := c.status("e1").Leader; next == leader {
-			t.Errorf("%s leads and has stopped", next)
-		}
-		l.wait(50)
-		l.check("e3")
-		if len(l.cut) > 0 {
-			t.Errorf("%d requests were cut by the stop of control", len(l.cut))
-		}
-	})
+}
+
+func TestPlannedStopOfControl(t *testing.T) {
+	c := newCluster(t)
+	leader := c.status("e1").Leader
+	l := c.load("control", "e1", "e3")
+	l.wait(50)
+	if err := c.stop(leader); err != nil {
+		t.Errorf("control stopped with %v", err)
+	}
+	if next := c.status("e1").Leader; next == leader {
+		t.Errorf("%s leads and has stopped", next)
+	}
+	l.wait(50)
+	l.check("e3")
+	if len(l.cut) > 0 {
+		t.Errorf("%d requests were cut by the stop of control", len(l.cut))
+	}
 }
 
 func TestEntryMissesChanges(t *testing.T) {
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -96,7 +96,43 @@
 
 func (c *Control) primaryLeaving(p catalog.Primary) bool {
 	u := c.upstreams[p.Instance]
-	return u != nil && (u.said.Leaving || c.state.IsDrained(p.Instance)) && c.hasReplica(p)
+	leaves := u != nil && (u.said.Leaving || c.state.IsDrained(p.Instance))
+	return (leaves || c.isQuiet(u)) && c.hasReplica(p)
+}
+
+// isQuiet reports whether an upstream announces itself no more, so that the
+// entries give it no new work. That is not believed unless its site, or every
+// site if it is unknown, still reports: an upstream beyond a cut may be heard
+// by others. A new leader waits until it could have heard it.
+func (c *Control) isQuiet(u *upstreamView) bool {
+	heard := c.graceEnds
+	if u != nil {
+		heard = max(heard, u.heardAt)
+	}
+	if c.now.Before(heard.Add(c.options.Timings.Announce)) {
+		return false
+	}
+	reporting := c.sitesReporting()
+	if u != nil {
+		return reporting[u.said.Site]
+	}
+	for _, site := range c.options.Entries {
+		if !reporting[site] {
+			return false
+		}
+	}
+	return true
+}
+
+// sitesReporting are the sites whose entries reported lately.
+func (c *Control) sitesReporting() map[catalog.SiteID]bool {
+	sites := map[catalog.SiteID]bool{}
+	for _, v := range c.entries {
+		if c.now.Sub(v.seenAt) <= evidenceReports*c.options.Timings.Report {
+			sites[v.site] = true
+		}
+	}
+	return sites
 }
 
 func (c *Control) hasReplica(p catalog.Primary) bool {
--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -36,6 +36,8 @@
 		life      uint64
 		sequence  uint64
 		leaving   bool
+		// quiet is set while it announces nothing.
+		quiet bool
 		// promotedAt is when it last became the primary.
 		promotedAt catalog.Instant
 		open       int
@@ -54,6 +56,9 @@
 		gone   bool
 		// request is what runs on it, zero if nothing.
 		request catalog.RequestID
+		// inside is set while a transaction is open, which did pending.
+		inside  bool
+		pending []record
 	}
 	// operation is what a caller asked for.
 	operation struct {
@@ -71,6 +76,13 @@
 		verdict  node.Verdict
 		answered bool
 		end      catalog.Instant
+		// second is set for reads over a second connection of the session.
+		second bool
+		// step is the part of a transaction that it is, if it is one, and conn
+		// the connection it ran on; then takes the answer.
+		step step
+		conn catalog.ConnID
+		then func(node.Verdict)
 	}
 )
 
@@ -98,7 +110,7 @@
 // announce reaches the entry of the own site.
 func (w *world) announce(u *instance) {
 	w.after(250*ms, func() { w.announce(u) })
-	if u.dead || w.now < u.thawAt {
+	if u.dead || u.quiet || w.now < u.thawAt {
 		return
 	}
 	u.sequence++
@@ -267,6 +279,7 @@
 	}
 	c.request = v.Request
 	op := operations[w][v.Request]
+	op.conn = v.Conn
 	w.after(op.start.Add(opDeadline).Sub(w.now), func() {
 		if c.request == v.Request {
 			w.lose(k, p, wire.EvidenceSilent)
@@ -285,7 +298,8 @@
 		case v.Verify && !v.Forks.Covers(u.position(), v.Floor):
 			done.Outcome = node.OutcomeBehind
 		default:
-			w.execute(op, u)
+			w.execute(op, c)
+			done.InTransaction = c.inside
 		}
 		result := op.result
 		if v.AskPosition {
@@ -307,7 +321,15 @@
 	}
 }
 
-func (w *world) execute(op *operation, u *instance) {
+func (w *world) execute(op *operation, c *conn) {
+	u := c.at
+	if op.step != stepNone {
+		w.executeStep(op, c)
+		return
+	}
+	if c.inside {
+		w.fail("request %d ran within the transaction of another caller", op.id)
+	}
 	op.ran = append(op.ran, u.id)
 	if op.isWrite {
 		u.log = append(slices.Clone(u.log), record{key: op.key, value: op.value, term: u.term})
--- a/node/system_proof_test.go
+++ b/node/system_proof_test.go
@@ -45,27 +45,32 @@
 	operations[w] = c.byID
 	w.answer = c.answered
 	for n := range sessions {
-		w.after(time.Duration(n)*ms, func() { c.next(n) })
+		w.after(time.Duration(n)*ms, func() { c.next(n, false) })
+		if n%2 == 1 {
+			w.after(time.Duration(n)*ms, func() { c.next(n, true) })
+		}
 	}
 	return c
 }
 
-func (c *callers) next(session int) {
+// next sends an operation of a session, which may have a second connection
+// that only reads.
+func (c *callers) next(session int, second bool) {
 	w := c.w
 	if w.now > c.until {
 		return
 	}
 	entries := w.names('e')
 	p := w.byName[entries[w.rng.IntN(len(entries))]]
-	if p.dead {
-		w.after(20*ms, func() { c.next(session) })
+	if p.dead || p.draining {
+		w.after(20*ms, func() { c.next(session, second) })
 		return
 	}
 	op := &operation{
 		id: catalog.RequestID(len(c.ops) + 1), session: session, key: fmt.Sprint("k", session),
-		isWrite: w.rng.IntN(2) == 0, start: w.now, at: p, result: -1,
+		isWrite: !second && w.rng.IntN(2) == 0, start: w.now, at: p, result: -1, second: second,
 	}
-	op.least = c.ownWrite(session)
+	op.least = c.ownWrite(session, math.MaxInt)
 	c.ops = append(c.ops, op)
 	c.byID[op.id] = op
 	kind := node.KindRead
@@ -95,6 +100,10 @@
 
 func (c *callers) answered(_ *process, a node.AnswerRequest) {
 	op := c.byID[a.Request]
+	if op.then != nil {
+		op.then(a.Verdict)
+		return
+	}
 	if op.answered {
 		if op.verdict != node.VerdictUnknown {
 			c.w.fail("request %d was answered twice", op.id)
@@ -106,13 +115,20 @@
 			c.floors[session] = a.Floor
 		}
 		c.checkAck(op)
-		if least := min(op.least, c.ownWrite(op.session)); !op.isWrite && op.result < least {
-			c.w.fail("read %d of session %d saw %d after it wrote %d", op.id, op.session, op.result, least)
+		if least := c.ownWrite(op.session, op.least); !op.isWrite && op.result < least {
+			c.w.fail("read %d of session %d saw %d after it wrote %d%s", op.id, op.session, op.result, least, secondText(op))
 		}
 	}
 	c.finish(op, a.Verdict)
 }
 
+func secondText(op *operation) string {
+	if op.second {
+		return ", over its second connection"
+	}
+	return ""
+}
+
 // checkAck finds an acknowledgement by a primary that has been replaced.
 func (c *callers) checkAck(op *operation) {
 	if !op.isWrite || len(op.ran) == 0 {
@@ -128,7 +144,7 @@
 
 func (c *callers) finish(op *operation, v node.Verdict) {
 	op.answered, op.verdict, op.end = true, v, c.w.now
-	c.w.after(time.Duration(1+c.w.rng.IntN(20))*ms, func() { c.next(op.session) })
+	c.w.after(time.Duration(1+c.w.rng.IntN(20))*ms, func() { c.next(op.session, op.second) })
 }
 
 // check judges the whole history.
@@ -164,14 +180,14 @@
 	}
 }
 
-// ownWrite is the last acknowledged write of a session that the primary of
-// the highest term holds. Under AckPrimary a failover may lose a write; a read
+// ownWrite is the last acknowledged write of a session up to a value that the
+// primary of the highest term holds. Under AckPrimary a failover may lose a write; a read
 // can't be asked to show it then.
-func (c *callers) ownWrite(session int) int {
+func (c *callers) ownWrite(session, most int) int {
 	log := c.w.newest().log
 	for n := len(c.ops) - 1; n >= 0; n-- {
 		op := c.ops[n]
-		if op.session == session && op.isWrite && op.answered && op.verdict == node.VerdictDone && holds(log, op) {
+		if op.session == session && op.isWrite && op.value <= most && op.answered && op.verdict == node.VerdictDone && holds(log, op) {
 			return op.value
 		}
 	}
@@ -219,6 +235,9 @@
 		var history []porcupine.Operation
 		for _, op := range c.ops {
 			ran := len(op.ran) > 0
+			if op.second && !c.lasted(op) {
+				continue
+			}
 			if op.session != session || op.verdict == node.VerdictNotRun || (op.verdict == node.VerdictUnknown && !(op.isWrite && ran)) {
 				continue
 			}
@@ -237,6 +256,13 @@
 	}
 }
 
+// lasted reports whether the write that a read saw was not lost by a failover.
+// A second connection may see one before it is acknowledged, and then no more;
+// that is no write of the session's until it is acknowledged.
+func (c *callers) lasted(op *operation) bool {
+	return op.result == 0 || holds(c.w.newest().log, &operation{key: op.key, value: op.result})
+}
+
 // withOwnClients gives operations of unknown end a client each, since they may
 // overlap with all that follow.
 func withOwnClients(h []porcupine.Operation) []porcupine.Operation {
@@ -373,6 +399,7 @@
 		{"lease", "was acknowledged after", catalog.AckPrimary, func(w *world) { w.spoilEntry = (*node.Entry).SpoilLease }},
 		{"survey", "acknowledged and lost", catalog.AckReplicated, func(w *world) { w.spoilControl = (*node.Control).SpoilSurvey }},
 		{"floor", "after it wrote", catalog.AckReplicated, func(w *world) { w.spoilFloors = true }},
+		{"two connections", "over its second connection", catalog.AckReplicated, func(w *world) { w.spoilFloors = true }},
 		{"register", "not linearizable", catalog.AckReplicated, func(w *world) { w.spoilFloors = true }},
 	}
 	const most = 60
--- a/node/system_settings_test.go
+++ b/node/system_settings_test.go
@@ -262,3 +262,35 @@
 		}
 	}
 }
+
+// TestSystemCommandsAnswered has the leader lose its office while a long
+// command waits; each command has exactly one answer.
+func TestSystemCommandsAnswered(t *testing.T) {
+	ask := func(c node.Command, before func(*world, *process)) func(uint64) *world {
+		return func(seed uint64) *world {
+			w := newWorld(seed, catalog.AckReplicated, nil)
+			w.answer = func(*process, node.AnswerRequest) {}
+			o := newOperators(w)
+			o.loss = 0
+			w.run(2 * time.Second)
+			leader := o.leader()
+			before(w, leader)
+			w.run(2 * time.Second)
+			w.apart[leader.site] = true
+			o.send(leader.vm, c, 0, func(node.Reply) {})
+			w.run(4 * time.Second)
+			if len(o.open) > 0 {
+				w.fail("the command got no answer")
+			}
+			return w
+		}
+	}
+	t.Run("switch", func(t *testing.T) {
+		c := node.Command{Switch: &node.SwitchPrimary{Service: "ledger"}}
+		prove(t, 5, nil, ask(c, func(*world, *process) {}))
+	})
+	t.Run("replace", func(t *testing.T) {
+		c := node.Command{Replace: &node.ReplaceMember{VM: "k1", Incarnation: 2}}
+		prove(t, 5, nil, ask(c, func(*world, *process) {}))
+	})
+}
--- a/node/system_world_test.go
+++ b/node/system_world_test.go
@@ -31,6 +31,9 @@
 		// life numbers its starts; what was due for an earlier one is void.
 		life   int
 		dead   bool
+		// draining is set once a planned stop was asked for; callers go
+		// elsewhere then.
+		draining bool
 		thawAt catalog.Instant
 		// drift is how much faster than the world's its clock runs.
 		drift float64
@@ -68,6 +71,8 @@
 		spoilFloors  bool
 		// spoilDisk makes disks forget what they said was synced.
 		spoilDisk bool
+		// spoilSteps makes upstreams forget that a transaction is open.
+		spoilSteps bool
 		// sent, replied, stopped and begun tell a proof what happens; each
 		// may be nil. Begun is called when a connection or a request of an
 		// entry begins at an upstream.
@@ -138,7 +143,7 @@
 // start begins a new life of a process with what it had on disk.
 func (w *world) start(p *process) {
 	p.life++
-	p.dead = false
+	p.dead, p.draining = false, false
 	service := catalog.Service{ID: "ledger", Ack: w.ack, Instances: 3, Limits: w.limits}
 	if p.vm[0] == 'k' {
 		entries := map[catalog.VMID]catalog.SiteID{}
