node: answer waiting commands when the leader loses its office

A switch of primary or a replacement in progress was forgotten with the office, and its operator waited for an answer that never came, although each command is to have exactly one. They are now told that the outcome is unknown, as changes in progress already were.

--- a/node/control.go
+++ b/node/control.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"sort"
+	"slices"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/quorum"
@@ -197,12 +197,12 @@
 	if leading == c.leading {
 		return
 	}
-	pending := c.proposals
+	waiting := c.waitingCommands()
 	c.resetOffice()
 	c.leading = leading
 	if !leading {
 		c.log("control", "Leads no more.")
-		c.abandon(pending)
+		c.abandon(waiting)
 		return
 	}
 	t := c.options.Timings
@@ -211,14 +211,24 @@
 	c.log("control", "Leads now.")
 }
 
-func (c *Control) abandon(pending map[quorum.Index]proposal) {
+// waitingCommands lists the operators' commands that have no answer yet.
+func (c *Control) waitingCommands() []uint64 {
 	var numbers []uint64
-	for _, p := range pending {
-		if p.number != 0 {
-			numbers = append(numbers, p.number)
-		}
+	for _, p := range c.proposals {
+		numbers = append(numbers, p.number)
+	}
+	for _, f := range c.failovers {
+		numbers = append(numbers, f.number)
+	}
+	if c.replacing != nil {
+		numbers = append(numbers, c.replacing.number)
 	}
-	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	numbers = slices.DeleteFunc(numbers, func(n uint64) bool { return n == 0 })
+	slices.Sort(numbers)
+	return numbers
+}
+
+func (c *Control) abandon(numbers []uint64) {
 	for _, n := range numbers {
 		c.emit(OperatorAnswer{Number: n, Reply: Reply{
 			Code: ReplyUnknown, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.Election,
