--- a/daemon/token_test.go
+++ b/daemon/token_test.go
@@ -39,7 +39,7 @@
 		flipped[len(flipped)/2] ^= 1
 		for name, bad := range map[string]string{
 			"flipped": string(flipped), "cut": text[:len(text)/2], "cut by one": text[:len(text)-1],
-			"other key": sign([]byte("another key of thirty-two bytes!"), "shop", "s"),
+			"other key":     sign([]byte("another key of thirty-two bytes!"), "shop", "s"),
 			"other service": sign(own, "orders", "s"), "other session": sign(own, "shop", "another"),
 		} {
 			_, err := ask(c.conn("e2"), "session=s, token="+bad, "SELECT value FROM moved WHERE key = 'first'")
--- /dev/null
+++ b/node/system_disturb_test.go
@@ -0,0 +1,90 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// disturb causes one fault and ends it after a while.
+func (w *world) disturb() {
+	d := time.Duration(100+w.rng.IntN(2000)) * ms
+	p := w.vms[w.rng.IntN(len(w.vms))]
+	u := w.group[w.ids()[w.rng.IntN(3)]]
+	switch w.rng.IntN(6) {
+	case 0:
+		w.restart(p, d)
+	case 1:
+		w.caused["freeze "+string(p.vm[0])]++
+		p.thawAt = w.now.Add(d)
+	case 2:
+		s := sites[w.rng.IntN(3)]
+		w.caused["cut"]++
+		w.apart[s] = true
+		w.after(d, func() { delete(w.apart, s) })
+	case 3:
+		w.caused["freeze upstream"]++
+		u.thawAt = w.now.Add(d)
+	default:
+		w.restartInstance(d)
+	}
+}
+
+func (w *world) restart(p *process, d time.Duration) {
+	if p.dead {
+		return
+	}
+	w.caused["kill "+string(p.vm[0])]++
+	w.kill(p)
+	w.after(d, func() { w.start(p) })
+}
+
+// restartInstance kills the present primary, which comes back in its old role.
+func (w *world) restartInstance(d time.Duration) {
+	for _, id := range w.ids() {
+		u := w.group[id]
+		if u.dead || u.role != catalog.RolePrimary {
+			continue
+		}
+		w.caused["kill primary"]++
+		w.killInstance(u)
+		w.after(d, func() { u.dead = false })
+		return
+	}
+}
+
+func (w *world) killInstance(u *instance) {
+	u.dead = true
+	u.life++
+	u.open = 0
+	for _, k := range w.sortedConns() {
+		if c := w.conns[k]; c.at == u && !w.cut(w.byName[k.vm].site, u.site) {
+			w.after(w.way(w.byName[k.vm].site, u.site), func() { w.lose(k, w.byName[k.vm], wire.EvidenceRefused) })
+		}
+	}
+}
+
+func (w *world) sortedConns() []connKey {
+	var out []connKey
+	for k := range w.conns {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b connKey) int {
+		return compare(fmt.Sprint(a.vm, a.life), fmt.Sprint(b.vm, b.life), int(a.id)-int(b.id))
+	})
+	return out
+}
+
+func compare(a, b string, tie int) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return tie
+	}
+}
--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -346,87 +345,3 @@
 	}
 	return 0
 }
-
-func (w *world) survey(p *process, v node.Survey) {
-	u, life := w.group[v.Instance], p.life
-	w.after(w.until(p, v.Deadline), func() {
-		w.handle(p, life, node.Surveyed{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceSilent})
-	})
-	w.reach(p.site, u, func() {
-		if u.dead {
-			w.back(p, life, u, node.Surveyed{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceRefused})
-			return
-		}
-		w.back(p, life, u, node.Surveyed{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceAlive, Role: u.role, Position: u.position(), Received: u.has()})
-	})
-}
-
-func (w *world) promote(p *process, v node.Promote) {
-	u, life := w.group[v.Instance], p.life
-	w.reach(p.site, u, func() {
-		if u.dead {
-			w.back(p, life, u, node.Promoted{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch})
-			return
-		}
-		if u.role != catalog.RolePrimary {
-			u.role, u.from, u.promotedAt = catalog.RolePrimary, "", w.now
-			if isPrefix(u.log, u.received) {
-				u.log = u.received
-			}
-			for _, id := range w.ids() {
-				u.term = max(u.term, w.group[id].term)
-			}
-			u.term++
-			w.caused["promotion"]++
-		}
-		w.back(p, life, u, node.Promoted{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch, OK: true, Position: u.position()})
-	})
-}
-
-// follow makes an upstream a replica of another, cut back to their common log.
-func (w *world) follow(p *process, v node.Follow) {
-	u, from := w.group[v.Instance], w.group[v.PrimaryInstance]
-	w.reach(p.site, u, func() {
-		if u.dead || from.role != catalog.RolePrimary || from.term <= u.term {
-			return
-		}
-		n := 0
-		for n < len(u.log) && n < len(from.log) && u.log[n] == from.log[n] {
-			n++
-		}
-		u.log, u.role, u.from, u.received = u.log[:n:n], catalog.RoleReplica, from.id, nil
-	})
-}
-
-func (w *world) killInstance(u *instance) {
-	u.dead = true
-	u.life++
-	u.open = 0
-	for _, k := range w.sortedConns() {
-		if c := w.conns[k]; c.at == u && !w.cut(w.byName[k.vm].site, u.site) {
-			w.after(w.way(w.byName[k.vm].site, u.site), func() { w.lose(k, w.byName[k.vm], wire.EvidenceRefused) })
-		}
-	}
-}
-
-func (w *world) sortedConns() []connKey {
-	var out []connKey
-	for k := range w.conns {
-		out = append(out, k)
-	}
-	slices.SortFunc(out, func(a, b connKey) int {
-		return compare(fmt.Sprint(a.vm, a.life), fmt.Sprint(b.vm, b.life), int(a.id)-int(b.id))
-	})
-	return out
-}
-
-func compare(a, b string, tie int) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return tie
-	}
-}
--- /dev/null
+++ b/node/system_orders_test.go
@@ -0,0 +1,58 @@
+package node_test
+
+import (
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+func (w *world) survey(p *process, v node.Survey) {
+	u, life := w.group[v.Instance], p.life
+	w.after(w.until(p, v.Deadline), func() {
+		w.handle(p, life, node.Surveyed{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceSilent})
+	})
+	w.reach(p.site, u, func() {
+		if u.dead {
+			w.back(p, life, u, node.Surveyed{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceRefused})
+			return
+		}
+		w.back(p, life, u, node.Surveyed{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceAlive, Role: u.role, Position: u.position(), Received: u.has()})
+	})
+}
+
+func (w *world) promote(p *process, v node.Promote) {
+	u, life := w.group[v.Instance], p.life
+	w.reach(p.site, u, func() {
+		if u.dead {
+			w.back(p, life, u, node.Promoted{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch})
+			return
+		}
+		if u.role != catalog.RolePrimary {
+			u.role, u.from, u.promotedAt = catalog.RolePrimary, "", w.now
+			if isPrefix(u.log, u.received) {
+				u.log = u.received
+			}
+			for _, id := range w.ids() {
+				u.term = max(u.term, w.group[id].term)
+			}
+			u.term++
+			w.caused["promotion"]++
+		}
+		w.back(p, life, u, node.Promoted{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch, OK: true, Position: u.position()})
+	})
+}
+
+// follow makes an upstream a replica of another, cut back to their common log.
+func (w *world) follow(p *process, v node.Follow) {
+	u, from := w.group[v.Instance], w.group[v.PrimaryInstance]
+	w.reach(p.site, u, func() {
+		if u.dead || from.role != catalog.RolePrimary || from.term <= u.term {
+			return
+		}
+		n := 0
+		for n < len(u.log) && n < len(from.log) && u.log[n] == from.log[n] {
+			n++
+		}
+		u.log, u.role, u.from, u.received = u.log[:n:n], catalog.RoleReplica, from.id, nil
+	})
+}
--- a/node/system_proof_test.go
+++ b/node/system_proof_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
-
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/node"
 )
@@ -214,113 +212,6 @@
 	return best
 }
 
-type registerInput struct {
-	isWrite bool
-	value   int
-}
-
-// checkRegisters has porcupine judge the reads of sessions known by id alone,
-// whose floor is the primary's position, against all writes of the key.
-func (c *callers) checkRegisters() {
-	model := porcupine.Model{
-		Init: func() any { return 0 },
-		Step: func(state, in, out any) (bool, any) {
-			if i := in.(registerInput); i.isWrite {
-				return true, i.value
-			}
-			return out.(int) == state.(int), state
-		},
-	}
-	for session := 1; session < sessions; session += 2 {
-		var history []porcupine.Operation
-		for _, op := range c.ops {
-			ran := len(op.ran) > 0
-			if op.second && !c.lasted(op) {
-				continue
-			}
-			if op.session != session || op.verdict == node.VerdictNotRun || (op.verdict == node.VerdictUnknown && !(op.isWrite && ran)) {
-				continue
-			}
-			end := int64(op.end)
-			if op.verdict == node.VerdictUnknown {
-				end = math.MaxInt64
-			}
-			history = append(history, porcupine.Operation{
-				ClientId: session, Input: registerInput{op.isWrite, op.value}, Output: op.result,
-				Call: int64(op.start), Return: end,
-			})
-		}
-		if !porcupine.CheckOperations(model, withOwnClients(history)) {
-			c.w.fail("the register of session %d is not linearizable", session)
-		}
-	}
-}
-
-// lasted reports whether the write that a read saw was not lost by a failover.
-// A second connection may see one before it is acknowledged, and then no more;
-// that is no write of the session's until it is acknowledged.
-func (c *callers) lasted(op *operation) bool {
-	return op.result == 0 || holds(c.w.newest().log, &operation{key: op.key, value: op.result})
-}
-
-// withOwnClients gives operations of unknown end a client each, since they may
-// overlap with all that follow.
-func withOwnClients(h []porcupine.Operation) []porcupine.Operation {
-	for n := range h {
-		if h[n].Return == math.MaxInt64 {
-			h[n].ClientId = 1000 + n
-		}
-	}
-	return h
-}
-
-// disturb causes one fault and ends it after a while.
-func (w *world) disturb() {
-	d := time.Duration(100+w.rng.IntN(2000)) * ms
-	p := w.vms[w.rng.IntN(len(w.vms))]
-	u := w.group[w.ids()[w.rng.IntN(3)]]
-	switch w.rng.IntN(6) {
-	case 0:
-		w.restart(p, d)
-	case 1:
-		w.caused["freeze "+string(p.vm[0])]++
-		p.thawAt = w.now.Add(d)
-	case 2:
-		s := sites[w.rng.IntN(3)]
-		w.caused["cut"]++
-		w.apart[s] = true
-		w.after(d, func() { delete(w.apart, s) })
-	case 3:
-		w.caused["freeze upstream"]++
-		u.thawAt = w.now.Add(d)
-	default:
-		w.restartInstance(d)
-	}
-}
-
-func (w *world) restart(p *process, d time.Duration) {
-	if p.dead {
-		return
-	}
-	w.caused["kill "+string(p.vm[0])]++
-	w.kill(p)
-	w.after(d, func() { w.start(p) })
-}
-
-// restartInstance kills the present primary, which comes back in its old role.
-func (w *world) restartInstance(d time.Duration) {
-	for _, id := range w.ids() {
-		u := w.group[id]
-		if u.dead || u.role != catalog.RolePrimary {
-			continue
-		}
-		w.caused["kill primary"]++
-		w.killInstance(u)
-		w.after(d, func() { u.dead = false })
-		return
-	}
-}
-
 // play runs one seed and returns what broke.
 func play(seed uint64, ack catalog.AckMode, spoil func(*world)) (*world, *callers) {
 	w := newWorld(seed, ack, spoil)
--- a/node/system_world_test.go
+++ b/node/system_world_test.go
@@ -29,12 +29,12 @@
 		step  func(node.Event) []node.Effect
 		saved quorum.Saved
 		// life numbers its starts; what was due for an earlier one is void.
-		life   int
-		dead   bool
+		life int
+		dead bool
 		// draining is set once a planned stop was asked for; callers go
 		// elsewhere then.
 		draining bool
-		thawAt catalog.Instant
+		thawAt   catalog.Instant
 		// drift is how much faster than the world's its clock runs.
 		drift float64
 		timer int
