quorum: hand the leader's office over at a planned stop

Weighed: longer leases (every failover without a confirmed fence waits longer) and a last push of leases before the stop (600 ms don't always reach past an election). The leader now steps down and has the voter that is furthest on stand at once; its vote requests say that the leader gave up, so that loyal members grant them.

--- a/node/control.go
+++ b/node/control.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"sort"
+	"slices"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/quorum"
@@ -37,6 +37,10 @@
 	now     catalog.Instant
 	effects []Effect
 	timer   catalog.Instant
+	// draining is set during a planned stop, which drainBy bounds.
+	draining bool
+	drainBy  catalog.Instant
+	stopped  bool
 	// entriesAt counts the entry VMs of each site.
 	entriesAt map[catalog.SiteID]int
 
@@ -154,7 +158,7 @@
 	case OperatorAsked:
 		c.operate(v)
 	case DrainAsked:
-		c.emit(Stopped{})
+		c.drain()
 	}
 }
 
@@ -191,7 +195,11 @@
 		c.sweep()
 	}
 	c.join()
+	c.settleDrain()
 	at := c.quorum.Wake()
+	if c.draining && !c.stopped {
+		at = min(at, c.drainBy)
+	}
 	if c.leading && c.sweepAt < at {
 		at = c.sweepAt
 	}
@@ -215,12 +223,12 @@
 	if leading == c.leading {
 		return
 	}
-	pending := c.proposals
+	waiting := c.waitingCommands()
 	c.resetOffice()
 	c.leading = leading
 	if !leading {
 		c.log("control", "Leads no more.")
-		c.abandon(pending)
+		c.abandon(waiting)
 		return
 	}
 	t := c.options.Timings
@@ -229,14 +237,24 @@
 	c.log("control", "Leads now.")
 }
 
-func (c *Control) abandon(pending map[quorum.Index]proposal) {
+// waitingCommands lists the operators' commands that have no answer yet.
+func (c *Control) waitingCommands() []uint64 {
 	var numbers []uint64
-	for _, p := range pending {
-		if p.number != 0 {
-			numbers = append(numbers, p.number)
-		}
+	for _, p := range c.proposals {
+		numbers = append(numbers, p.number)
+	}
+	for _, f := range c.failovers {
+		numbers = append(numbers, f.number)
+	}
+	if c.replacing != nil {
+		numbers = append(numbers, c.replacing.number)
 	}
-	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	numbers = slices.DeleteFunc(numbers, func(n uint64) bool { return n == 0 })
+	slices.Sort(numbers)
+	return numbers
+}
+
+func (c *Control) abandon(numbers []uint64) {
 	for _, n := range numbers {
 		c.emit(OperatorAnswer{Number: n, Reply: Reply{
 			Code: ReplyUnknown, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.Election,
@@ -266,6 +284,28 @@
 	}, 0)
 }
 
+// drain begins a planned stop: a leader hands its office over first.
+func (c *Control) drain() {
+	c.draining = true
+	c.drainBy = c.now.Add(2 * c.options.Timings.Election)
+	c.drive(c.quorum.Handover(c.now))
+}
+
+// settleDrain ends a planned stop once another VM leads, or in a short while.
+func (c *Control) settleDrain() {
+	if !c.draining || c.stopped {
+		return
+	}
+	leader := c.quorum.Leader()
+	if leader == "" || leader == c.options.VM {
+		if c.now.Before(c.drainBy) {
+			return
+		}
+	}
+	c.stopped = true
+	c.emit(Stopped{})
+}
+
 // join makes a VM that is no member known to the others.
 func (c *Control) join() {
 	self := c.options.Saved.Self
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -16,7 +16,7 @@
 	case !g.voter() || g.fault == faultDeaf:
 		g.armElection()
 	case g.fault == faultNoPreVote:
-		g.stand()
+		g.stand(false)
 	default:
 		g.sound()
 	}
@@ -65,27 +65,28 @@
 func (g *Group) sound() {
 	g.role, g.leader, g.votes = rolePreCandidate, "", map[catalog.VMID]bool{}
 	g.armElection()
-	g.out.Send = append(g.out.Send, g.ask(KindPreVote, g.vote.Ballot+1)...)
+	g.out.Send = append(g.out.Send, g.ask(KindPreVote, g.vote.Ballot+1, false)...)
 	g.count(g.own.VM)
 }
 
-// stand asks for votes in a new ballot. The requests wait for the own vote.
-func (g *Group) stand() {
+// stand asks for votes in a new ballot, released if the leader before gave up
+// its office. The requests wait for the own vote.
+func (g *Group) stand(released bool) {
 	g.role, g.leader, g.votes = roleCandidate, "", map[catalog.VMID]bool{}
 	g.setVote(Vote{Ballot: g.vote.Ballot + 1, For: g.own.VM})
 	g.campaign = g.vote.Ballot
 	g.armElection()
-	g.promise(g.ask(KindVote, g.vote.Ballot), faultEarlyVote)
+	g.promise(g.ask(KindVote, g.vote.Ballot, released), faultEarlyVote)
 }
 
-func (g *Group) ask(kind Kind, ballot Ballot) []Envelope {
+func (g *Group) ask(kind Kind, ballot Ballot, released bool) []Envelope {
 	var out []Envelope
 	for _, m := range g.members {
 		if !m.Voter || m.VM == g.own.VM {
 			continue
 		}
 		out = append(out, g.envelope(m.VM, Message{
-			Kind: kind, Ballot: ballot, Receiver: m.Incarnation,
+			Kind: kind, Ballot: ballot, Receiver: m.Incarnation, OK: released,
 			Prev: g.log.last(), PrevBallot: g.log.lastBallot(),
 		})...)
 	}
@@ -105,7 +106,7 @@
 		return
 	}
 	if g.role == rolePreCandidate {
-		g.stand()
+		g.stand(false)
 		return
 	}
 	g.lead()
@@ -138,7 +139,8 @@
 }
 
 func (g *Group) receiveVote(from catalog.VMID, m Message) {
-	if g.loyal() || m.Ballot < g.vote.Ballot {
+	released := m.OK && m.Ballot == g.vote.Ballot+1
+	if g.loyal() && !released || m.Ballot < g.vote.Ballot {
 		g.out.Send = append(g.out.Send, g.envelope(from, Message{
 			Kind: KindVoteReply, Ballot: g.vote.Ballot, Receiver: m.Sender,
 		})...)
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -37,6 +37,9 @@
 	KindAppendReply
 	// KindSnapshot brings a whole snapshot to a member that is far behind.
 	KindSnapshot
+	// KindHandover tells a voter that its leader gave up its office and that it
+	// shall stand at once.
+	KindHandover
 	kindEnd
 )
 
@@ -57,7 +60,8 @@
 	// Stamp is the send time on the leader's clock; the reply repeats it and
 	// nobody else reads it.
 	Stamp catalog.Instant `cbor:"9,keyasint,omitempty"`
-	// OK is set in a reply that grants or acknowledges.
+	// OK is set in a reply that grants or acknowledges, and in KindVote if the
+	// leader of the ballot before gave up its office.
 	OK bool `cbor:"10,keyasint,omitempty"`
 	// Hint and HintBallot name the last record that may agree, in a refusal.
 	Hint       Index     `cbor:"11,keyasint,omitempty"`
--- a/quorum/receive.go
+++ b/quorum/receive.go
@@ -41,6 +41,8 @@
 		g.receiveVoteReply(from, m)
 	case KindAppendReply:
 		g.receiveAppendReply(from, m)
+	case KindHandover:
+		g.receiveHandover(from, m)
 	default:
 		g.receiveLeader(from, m)
 	}
