--- a/scripts/prove-changes.sh
+++ b/scripts/prove-changes.sh
@@ -156,11 +156,49 @@
   end_load
 }
 
-# run_rolling restarts everything by SIGTERM, one after the other.
+# The three runs below restart one sort of process each by SIGTERM, so that a
+# cut request says whose stop cut it; run_rolling restarts everything.
+run_rolling_entries() {
+  begin
+  start_load 16s token --move
+  roll_entries
+  end_planned
+}
+
+run_rolling_control() {
+  begin
+  start_load 10s token --move
+  roll_controls
+  end_planned
+}
+
+run_rolling_upstreams() {
+  begin
+  start_load 16s token --move
+  roll_upstreams
+  end_planned
+}
+
 run_rolling() {
-  : "${PARTS:=entries controls upstreams}"
   begin
   start_load 34s token --move
+  roll_entries
+  roll_controls
+  roll_upstreams
+  end_planned
+}
+
+# end_planned wants no outcome that a planned stop cut: none failed, none
+# unknown.
+end_planned() {
+  end_load
+  case $said in
+  *"unknown=0 failed=0"*) ;;
+  *) broken "planned stops cut work: $said" ;;
+  esac
+}
+
+roll_entries() {
   for i in 1 2 3; do
     for j in 1 2; do
       planned "muscat-$i-entry-$j"
@@ -168,19 +206,20 @@
       sleep 0.5
     done
   done
+}
+
+roll_controls() {
   last=$(leader_now)
   for vm in muscat-1-control muscat-2-control muscat-3-control; do
     [ "$vm" = "$last" ] || roll_control "$vm"
   done
   roll_control "$last"
+}
+
+roll_upstreams() {
   for i in 2 3 1; do
     for service in $SERVICES; do roll_upstream "$service" "$service-$i"; done
   done
-  end_load
-  case $said in
-  *"unknown=0 failed=0"*) ;;
-  *) broken "planned stops cut work: $said" ;;
-  esac
 }
 
 roll_control() {
--- a/scripts/prove-faults.sh
+++ b/scripts/prove-faults.sh
@@ -115,3 +115,17 @@
   await 15 primary_other_than stock "$old" && rejoin "$old" "$primary"
   end_load
 }
+
+# run_alone cuts a site off together with all upstreams but its own, and puts
+# the load on its entries only. The report shows what it goes on serving.
+run_alone() {
+  RELAYS=1 ENTRY_PORTS="531 532"
+  begin
+  start_load 12s token --move
+  for text in s3- u1- u2-; do "$FAULTS" cut "$RELAY" "$text" >/dev/null; done
+  fault cut-alone
+  sleep 8
+  for text in s3- u1- u2-; do "$FAULTS" heal "$RELAY" "$text" >/dev/null; done
+  end_load
+  cat "$RUN/report.txt"
+}
--- a/scripts/prove-set.sh
+++ b/scripts/prove-set.sh
@@ -7,7 +7,7 @@
 FAULTS="$BIN/kingcupknot-faults"
 SETTINGS="$RUN-settings"
 RELAYS=0
-RELAY="127.0.0.1:24999"
+RELAY="127.0.0.1:31999"
 SERVICES="orders stock workshops"
 KINGCUPKNOT_ADDRESS=""
 for p in 401 402 403 411 421 431; do
@@ -19,12 +19,12 @@
 config_of() { echo "--config $SETTINGS/base-$1.toml"; }
 
 address_of() {
-  if [ "$RELAYS" = 1 ]; then echo "127.0.0.1:$((24600 + $1))"; else echo "127.0.0.1:$((${PORTS}600 + $1))"; fi
+  if [ "$RELAYS" = 1 ]; then echo "127.0.0.1:$((31600 + $1))"; else echo "127.0.0.1:$((${PORTS}600 + $1))"; fi
 }
 
 # seen_from prints how a port of a site's VM is reached from another site.
 seen_from() { # from site, to site, port
-  if [ "$RELAYS" = 1 ] && [ "$1" != "$2" ]; then echo "2$1$3"; else echo "$PORTS$3"; fi
+  if [ "$RELAYS" = 1 ] && [ "$1" != "$2" ]; then echo "$((27 + $1))$3"; else echo "$PORTS$3"; fi
 }
 
 admins_of() {
@@ -41,8 +41,8 @@
     [ "$RELAYS" = 1 ] || continue
     for to in 1 2 3; do
       [ "$from" = "$to" ] && continue
-      sed -e "s/127\.0\.0\.1:$PORTS\([34]\)0$to/127.0.0.1:2$from\10$to/" \
-        -e "s/127\.0\.0\.1:$PORTS\([34]\)$to\([12]\)/127.0.0.1:2$from\1$to\2/" \
+      sed -e "s/127\.0\.0\.1:$PORTS\([34]\)0$to/127.0.0.1:$((27 + from))\10$to/" \
+        -e "s/127\.0\.0\.1:$PORTS\([34]\)$to\([12]\)/127.0.0.1:$((27 + from))\1$to\2/" \
         "$SETTINGS/base-$from.toml" >"$SETTINGS/next.toml"
       mv "$SETTINGS/next.toml" "$SETTINGS/base-$from.toml"
     done
@@ -55,12 +55,12 @@
     for to in 1 2 3; do
       [ "$from" = "$to" ] && continue
       for port in "30$to" "3${to}1" "3${to}2" "40$to" "4${to}1" "4${to}2"; do
-        routes="$routes --route s$from-s$to-$port=127.0.0.1:2$from$port=127.0.0.1:$PORTS$port"
+        routes="$routes --route s$from-s$to-$port=127.0.0.1:$((27 + from))$port=127.0.0.1:$PORTS$port"
       done
     done
     for k in 1 2 3; do
       port=$((600 + k * 10 + from))
-      routes="$routes --route u$from-$port=127.0.0.1:24$port=127.0.0.1:$PORTS$port"
+      routes="$routes --route u$from-$port=127.0.0.1:31$port=127.0.0.1:$PORTS$port"
     done
   done
   # shellcheck disable=SC2086
@@ -70,7 +70,7 @@
 # begin starts a fresh set and waits until it is whole.
 begin() {
   trap stop_set EXIT
-  trap 'exit 1' INT TERM
+  trap 'exit 1' INT TERM HUP
   write_settings
   start_set
   [ "$RELAYS" = 1 ] && start_relay
@@ -154,7 +154,7 @@
   length=$1 mode=$2
   shift 2
   list=""
-  for port in 511 512 521 522 531 532; do list="$list --entry 127.0.0.1:$PORTS$port"; done
+  for port in ${ENTRY_PORTS:-511 512 521 522 531 532}; do list="$list --entry 127.0.0.1:$PORTS$port"; done
   for service in $SERVICES; do list="$list --service $service"; done
   # shellcheck disable=SC2086
   "$BIN/kingcupknot-load" $list --duration "$length" --rate 300 --callers 36 --browse 0.4 \
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -9,12 +9,12 @@
 GO=${GO:-go}
 OUT=${OUT:-run/prove}
 # Two lanes of runs side by side, each with ports of its own.
-FIRST="primary entry freeze connections control-frozen leave operators"
-SECOND="cut control-killed disk rolling"
+FIRST="primary entry freeze connections control-frozen leave operators rolling-control"
+SECOND="cut alone control-killed disk rolling-entries rolling-upstreams rolling"
 KINDS="kill-primary two-failovers two-primaries kill-entry kill-entry-and-primary
   freeze-entry freeze-primary-0.2s freeze-primary-1s freeze-primary-3s
   freeze-leader freeze-leader-and-kill-primary kill-leader kill-member
-  kill-leader-in-change lose-disk lose-second-after-repair cut-vms cut-site
+  kill-leader-in-change lose-disk lose-second-after-repair cut-vms cut-site cut-alone
   cut-and-kill-primary race resend leave-replica leave-primary planned-stop"
 children=""
 
@@ -24,7 +24,7 @@
   for c in $children; do wait "$c" 2>/dev/null; done
 }
 trap stop_lanes EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' INT TERM HUP
 
 # seeded runs a package's seeded tests.
 seeded() { # package, tests, flags
@@ -35,7 +35,7 @@
     grep -E '^ +[a-z_]+\.go:|^--- FAIL|^panic' "$OUT/seeded.log" | head -20
     echo "seeded tests of $package; replay: $command" >>"$OUT/violations"
   fi
-  grep -E ' seeds, ' "$OUT/seeded.log" | sed "s|^ *|$package: |"
+  grep -E ' seeds[,:]|OK, passed' "$OUT/seeded.log" | sed "s|^ *|$package: |"
   cat "$OUT/seeded.log" >>"$OUT/tests.log"
 }
 
