--- a/cmd/kingcupknot-faults/main.go
+++ b/cmd/kingcupknot-faults/main.go
@@ -1,5 +1,5 @@
-// Kingcupknot-faults reads what a running set says of itself and asks its
-// relays and stand-ins for faults. It starts and ends no process; scripts do.
+// Kingcupknot-faults reads what a running set says of itself, asks its relays
+// and stand-ins for faults, and sends requests again under their ids. It starts and ends no process; scripts do.
 package main
 
 import (
@@ -29,6 +29,7 @@
 	"cut":        {"cut IP:PORT TEXT: cut a relay's routes whose names hold the text", 2, cut},
 	"heal":       {"heal IP:PORT TEXT: heal them", 2, heal},
 	"statements": {"statements IP:PORT: what a stand-in ran, by kind", 1, statements},
+	"resend":     {"resend DURATION SEED SERVICE ENTRY...: increments sent twice at once under one id; exit 1 if one ran twice or was lost", 4, resend},
 	"verdict":    {"verdict REPORT: operations and violations; exit 1 if there are some, 2 if it can't be read", 1, verdict},
 }
 
--- /dev/null
+++ b/cmd/kingcupknot-faults/resend.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+)
+
+const (
+	resendCallers = 12
+	// resends bounds how often an increment of unknown outcome is sent again.
+	resends    = 20
+	resendGap  = 50 * time.Millisecond
+	resendTime = 3 * time.Second
+	settleTime = 30 * time.Second
+)
+
+// resender increments one counter row, each time under a new request id that
+// it sends through two entries at once, and again until the outcome is known.
+// An increment has no key that would stop a second one, so the row shows it.
+type resender struct {
+	entries []string
+	service string
+	row     string
+	random  *rand.Rand
+	// sure and possible count increments that did run and that may have.
+	sure, possible, sent int64
+}
+
+// resend takes a duration, a seed, a service and entries.
+func resend(args []string) error {
+	length, err := time.ParseDuration(args[0])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	seed, err := strconv.ParseUint(args[1], 10, 64)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	found := make([]error, resendCallers)
+	all := make([]*resender, resendCallers)
+	var done sync.WaitGroup
+	for i := range all {
+		r := &resender{
+			entries: args[3:], service: args[2], random: rand.New(rand.NewPCG(seed, uint64(i))),
+			row: fmt.Sprintf("resend-%d-%x-%d", seed, time.Now().UnixNano(), i),
+		}
+		all[i] = r
+		done.Go(func() { found[i] = r.loop(time.Now().Add(length)) })
+	}
+	done.Wait()
+	var sure, possible, sent int64
+	for _, r := range all {
+		sure, possible, sent = sure+r.sure, possible+r.possible, sent+r.sent
+	}
+	fmt.Printf("operations=%d acknowledged=%d unknown=%d\n", sent, sure, possible)
+	for _, err := range found {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *resender) loop(end time.Time) error {
+	set := "INSERT INTO counter (key, value) VALUES ('" + r.row + "', '0') ON CONFLICT (key) DO NOTHING"
+	if _, err := r.settle(set); err != nil {
+		return errors.Annotate(err, "set up a counter")
+	}
+	for time.Now().Before(end) {
+		r.increment()
+	}
+	// The session's id makes the read show all that the session wrote.
+	text, err := r.settle("/* kingcupknot: session=" + r.row + " */ SELECT value FROM counter WHERE key = '" + r.row + "'")
+	if err != nil {
+		return errors.Annotate(err, "read back a counter")
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if n < r.sure || n > r.sure+r.possible {
+		return violated("%s is %d after %d increments that ran and %d that may have", r.row, n, r.sure, r.possible)
+	}
+	return nil
+}
+
+// settle runs a statement that may be repeated until it succeeds.
+func (r *resender) settle(text string) (string, error) {
+	var err error
+	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(resendGap) {
+		var value string
+		if value, err = r.ask(r.entry(), text); err == nil {
+			return value, nil
+		}
+	}
+	return "", err
+}
+
+// increment sends one request id twice at once, then again while its outcome
+// is unknown.
+func (r *resender) increment() {
+	r.sent++
+	text := fmt.Sprintf("/* kingcupknot: session=%s, request=%s-%d, deadline=2s */ UPDATE "+
+		"counter SET value = value + 1 WHERE key = '%s'", r.row, r.row, r.sent, r.row)
+	first, second := r.entry(), r.entry()
+	var a, b error
+	var both sync.WaitGroup
+	both.Go(func() { _, a = r.ask(first, text) })
+	both.Go(func() { _, b = r.ask(second, text) })
+	both.Wait()
+	ran, maybe := a == nil || b == nil, !isNotRun(a) || !isNotRun(b)
+	for try := 0; !ran && maybe && try < resends; try++ {
+		time.Sleep(resendGap)
+		_, err := r.ask(r.entry(), text)
+		ran = err == nil
+	}
+	switch {
+	case ran:
+		r.sure++
+	case maybe:
+		r.possible++
+	}
+}
+
+func (r *resender) entry() string {
+	return r.entries[r.random.IntN(len(r.entries))]
+}
+
+// ask runs one statement on a connection of its own and returns the first
+// value of the answer.
+func (r *resender) ask(entry, text string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), resendTime)
+	defer cancel()
+	c, err := pgx.Connect(ctx, "postgres://caller@"+entry+"/"+r.service+"?sslmode=disable")
+	if err != nil {
+		return "", errNotSent
+	}
+	defer c.Close(ctx)
+	results, err := c.PgConn().Exec(ctx, text).ReadAll()
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	if len(results) > 0 && len(results[0].Rows) > 0 {
+		return string(results[0].Rows[0][0]), nil
+	}
+	return "", nil
+}
+
+// errNotSent says that no connection came about.
+var errNotSent = errors.New("no connection")
+
+// isNotRun reports whether an error says for sure that nothing ran.
+func isNotRun(err error) bool {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code == "57P03" && strings.HasPrefix(e.Message, "not run:")
+	}
+	return errors.Is(err, errNotSent)
+}
--- a/scripts/prove-faults.sh
+++ b/scripts/prove-faults.sh
@@ -129,3 +129,33 @@
   end_load
   cat "$RUN/report.txt"
 }
+
+# run_once sends increments twice at once under one id, through two entries,
+# while entries and primaries die between commit and resend.
+run_once() {
+  begin
+  list=""
+  for port in 511 512 521 522 531 532; do list="$list 127.0.0.1:$PORTS$port"; done
+  # shellcheck disable=SC2086
+  "$FAULTS" resend 12s "$SEED" orders $list >"$RUN/report.txt" 2>"$RUN/verdict.txt" &
+  load=$!
+  echo "$load" >"$RUN/load.pid"
+  fault resend-at-once
+  sleep 2
+  gone muscat-1-entry-1
+  fault kill-entry
+  sleep 1
+  restart_vm muscat-1-entry-1
+  lose_primary orders
+  sleep 1
+  gone muscat-2-entry-1
+  lose_primary orders && fault resend-over-failover
+  restart_vm muscat-2-entry-1
+  freeze_primary orders 1
+  code=0
+  wait "$load" || code=$?
+  rm -f "$RUN/load.pid"
+  cat "$RUN/report.txt" >>"$OUT/operations"
+  echo "$NAME: $(cat "$RUN/report.txt")"
+  case $code in 0) ;; 1) broken "$(cat "$RUN/verdict.txt")" ;; *) failed "$(cat "$RUN/verdict.txt")" ;; esac
+}
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -9,13 +9,14 @@
 GO=${GO:-go}
 OUT=${OUT:-run/prove}
 # Two lanes of runs side by side, each with ports of its own.
-FIRST="primary entry freeze connections control-frozen leave operators rolling-control"
+FIRST="primary once entry freeze connections control-frozen leave operators rolling-control"
 SECOND="cut alone control-killed disk rolling-entries rolling-upstreams rolling"
 KINDS="kill-primary two-failovers two-primaries kill-entry kill-entry-and-primary
   freeze-entry freeze-primary-0.2s freeze-primary-1s freeze-primary-3s
   freeze-leader freeze-leader-and-kill-primary kill-leader kill-member
   kill-leader-in-change lose-disk lose-second-after-repair cut-vms cut-site cut-alone
-  cut-and-kill-primary race resend leave-replica leave-primary planned-stop"
+  cut-and-kill-primary race resend
+  resend-at-once resend-over-failover leave-replica leave-primary planned-stop"
 children=""
 
 # stop_lanes ends the lanes, each of which ends its set by its own trap.
