--- /dev/null
+++ b/cmd/kingcupknot-faults/check_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+// good is the exit code when nothing is wrong.
+const good = 0
+
+func said(err error) int {
+	if err == nil {
+		return good
+	}
+	return exitCode(err)
+}
+
+func TestJudge(t *testing.T) {
+	for report, want := range map[string]int{
+		"table\n" + `{"acknowledged":3}`:                          good,
+		`{"acknowledged":3,"unknown":1,"refused":1}`:              good,
+		`{"acknowledged":3,"lost":1}`:                             exitViolated,
+		`{"acknowledged":3,"doubled":1}`:                          exitViolated,
+		`{"acknowledged":3,"stale":1}`:                            exitViolated,
+		`{"acknowledged":3,"too-old":1}`:                          exitViolated,
+		`{"acknowledged":3,"invented":1}`:                         exitViolated,
+		`{"acknowledged":3,"refused-but-present":1}`:              exitViolated,
+		`{"acknowledged":3,"sum-wrong":true}`:                     exitViolated,
+		`{"acknowledged":0,"refused":9}`:                          exitUsage,
+		"":                                                        exitUsage,
+		"load: read back booking of orders: connection refused\n": exitUsage,
+	} {
+		if got := said(judge(report)); got != want {
+			t.Errorf("%q: exit code %d, not %d", report, got, want)
+		}
+	}
+}
+
+func TestCheckOnce(t *testing.T) {
+	one, two := node.Change{Version: 1, Change: "a"}, node.Change{Version: 2, Change: "b"}
+	again, reused := node.Change{Version: 3, Change: "a"}, node.Change{Version: 2, Change: "c"}
+	for name, x := range map[string]struct {
+		history []node.Change
+		want    int
+	}{
+		"each once":     {[]node.Change{two, one}, good},
+		"one missing":   {[]node.Change{two}, exitViolated},
+		"one twice":     {[]node.Change{again, two, one}, exitViolated},
+		"version twice": {[]node.Change{reused, two, one}, exitViolated},
+	} {
+		if got := said(checkOnce(x.history, []string{"a", "b"})); got != x.want {
+			t.Errorf("%s: exit code %d, not %d", name, got, x.want)
+		}
+	}
+}
+
+func TestCheckIncrements(t *testing.T) {
+	r := resender{row: "r", sure: 5, possible: 2}
+	for n, want := range map[int64]int{4: exitViolated, 5: good, 7: good, 8: exitViolated} {
+		if got := said(r.check(n)); got != want {
+			t.Errorf("a row at %d: exit code %d, not %d", n, got, want)
+		}
+	}
+}
+
+func TestIsNotRun(t *testing.T) {
+	for err, want := range map[error]bool{
+		errNotSent: true,
+		&pgconn.PgError{Code: codeNotRun, Message: "not run: no primary"}:    true,
+		&pgconn.PgError{Code: codeNotRun, Message: "the system is starting"}: false,
+		&pgconn.PgError{Code: "08007", Message: "outcome unknown"}:           false,
+		errors.New("unexpected EOF"):                                         false,
+	} {
+		if got := isNotRun(err); got != want {
+			t.Errorf("%v: %t", err, got)
+		}
+	}
+}
--- a/cmd/kingcupknot-faults/read.go
+++ b/cmd/kingcupknot-faults/read.go
@@ -115,20 +115,27 @@
 	if err != nil {
 		return err
 	}
+	if err := checkOnce(r.History, args); err != nil {
+		return err
+	}
+	fmt.Printf("%d changes, %d of them asked for, each once\n", len(r.History), len(args))
+	return nil
+}
+
+func checkOnce(history []node.Change, asked []string) error {
 	count := map[catalog.ChangeID]int{}
-	versions := map[catalog.Version]int{}
-	for _, c := range r.History {
+	versions := map[catalog.Version]bool{}
+	for _, c := range history {
 		count[c.Change]++
-		versions[c.Version]++
-		if versions[c.Version] > 1 {
+		if versions[c.Version] {
 			return violated("version %d was given twice", c.Version)
 		}
+		versions[c.Version] = true
 	}
-	for _, id := range args {
+	for _, id := range asked {
 		if n := count[catalog.ChangeID(id)]; n != 1 {
 			return violated("change %s is there %d times", id, n)
 		}
 	}
-	fmt.Printf("%d changes, %d of them asked for, each once\n", len(r.History), len(args))
 	return nil
 }
--- a/cmd/kingcupknot-faults/resend.go
+++ b/cmd/kingcupknot-faults/resend.go
@@ -21,6 +21,8 @@
 	resendGap  = 50 * time.Millisecond
 	resendTime = 3 * time.Second
 	settleTime = 30 * time.Second
+	codeNotRun = "57P03"
+	notRun     = "not run:"
 )
 
 // resender increments one counter row, each time under a new request id that
@@ -87,6 +89,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	return r.check(n)
+}
+
+// check wants the row to show each increment once.
+func (r *resender) check(n int64) error {
 	if n < r.sure || n > r.sure+r.possible {
 		return violated("%s is %d after %d increments that ran and %d that may have", r.row, n, r.sure, r.possible)
 	}
@@ -144,7 +151,7 @@
 	if err != nil {
 		return "", errNotSent
 	}
-	defer c.Close(ctx)
+	defer func() { _ = c.Close(ctx) }()
 	results, err := c.PgConn().Exec(ctx, text).ReadAll()
 	if err != nil {
 		return "", errors.Trace(err)
@@ -162,7 +169,7 @@
 func isNotRun(err error) bool {
 	var e *pgconn.PgError
 	if errors.As(err, &e) {
-		return e.Code == "57P03" && strings.HasPrefix(e.Message, "not run:")
+		return e.Code == codeNotRun && strings.HasPrefix(e.Message, notRun)
 	}
 	return errors.Is(err, errNotSent)
 }
--- a/cmd/kingcupknot-faults/verdict.go
+++ b/cmd/kingcupknot-faults/verdict.go
@@ -38,7 +38,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return judge(string(text))
+}
+
+func judge(report string) error {
+	lines := strings.Split(strings.TrimSpace(report), "\n")
 	var s workload.Summary
 	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &s); err != nil {
 		return errors.Annotate(err, "the report has no summary")
