--- a/scripts/prove-faults.sh
+++ b/scripts/prove-faults.sh
@@ -4,10 +4,10 @@
 # rejoin. Sets primary.
 lose_primary() { # service
   old=$(primary_now "$1")
-  [ -n "$old" ] || { failed "$1 has no primary to kill"; return; }
+  [ -n "$old" ] || { failed "$1 has no primary to kill"; return 1; }
   gone "$old"
   fault kill-primary
-  await 15 primary_other_than "$1" "$old" || { failed "no primary after $old"; return; }
+  await 15 primary_other_than "$1" "$old" || { failed "no primary after $old"; return 1; }
   rejoin "$old" "$primary"
 }
 
@@ -43,7 +43,7 @@
 # freeze_primary stops a primary for a while with work in flight.
 freeze_primary() { # service, seconds
   old=$(primary_now "$1")
-  [ -n "$old" ] || { failed "$1 has no primary to freeze"; return; }
+  [ -n "$old" ] || { failed "$1 has no primary to freeze"; return 1; }
   frozen "$old" "$2"
   fault "freeze-primary-$2s"
   await 15 primary_other_than "$1" none || failed "no primary after a freeze"
