--- a/scripts/prove-faults.sh
+++ b/scripts/prove-faults.sh
@@ -4,10 +4,10 @@
 # rejoin. Sets primary.
 lose_primary() { # service
   old=$(primary_now "$1")
-  [ -n "$old" ] || { failed "$1 has no primary to kill"; return; }
+  [ -n "$old" ] || { failed "$1 has no primary to kill"; return 1; }
   gone "$old"
   fault kill-primary
-  await 15 primary_other_than "$1" "$old" || { failed "no primary after $old"; return; }
+  await 15 primary_other_than "$1" "$old" || { failed "no primary after $old"; return 1; }
   rejoin "$old" "$primary"
 }
 
@@ -43,7 +43,7 @@
 # freeze_primary stops a primary for a while with work in flight.
 freeze_primary() { # service, seconds
   old=$(primary_now "$1")
-  [ -n "$old" ] || { failed "$1 has no primary to freeze"; return; }
+  [ -n "$old" ] || { failed "$1 has no primary to freeze"; return 1; }
   frozen "$old" "$2"
   fault "freeze-primary-$2s"
   await 15 primary_other_than "$1" none || failed "no primary after a freeze"
@@ -115,3 +115,47 @@
   await 15 primary_other_than stock "$old" && rejoin "$old" "$primary"
   end_load
 }
+
+# run_alone cuts a site off together with all upstreams but its own, and puts
+# the load on its entries only. The report shows what it goes on serving.
+run_alone() {
+  RELAYS=1 ENTRY_PORTS="531 532"
+  begin
+  start_load 12s token --move
+  for text in s3- u1- u2-; do "$FAULTS" cut "$RELAY" "$text" >/dev/null; done
+  fault cut-alone
+  sleep 8
+  for text in s3- u1- u2-; do "$FAULTS" heal "$RELAY" "$text" >/dev/null; done
+  end_load
+  cat "$RUN/report.txt"
+}
+
+# run_once sends increments twice at once under one id, through two entries,
+# while entries and primaries die between commit and resend.
+run_once() {
+  begin
+  list=""
+  for port in 511 512 521 522 531 532; do list="$list 127.0.0.1:$PORTS$port"; done
+  # shellcheck disable=SC2086
+  "$FAULTS" resend 12s "$SEED" orders $list >"$RUN/report.txt" 2>"$RUN/verdict.txt" &
+  load=$!
+  echo "$load" >"$RUN/load.pid"
+  fault resend-at-once
+  sleep 2
+  gone muscat-1-entry-1
+  fault kill-entry
+  sleep 1
+  restart_vm muscat-1-entry-1
+  lose_primary orders
+  sleep 1
+  gone muscat-2-entry-1
+  lose_primary orders && fault resend-over-failover
+  restart_vm muscat-2-entry-1
+  freeze_primary orders 1
+  code=0
+  wait "$load" || code=$?
+  rm -f "$RUN/load.pid"
+  cat "$RUN/report.txt" >>"$OUT/operations"
+  echo "$NAME: $(cat "$RUN/report.txt")"
+  case $code in 0) ;; 1) broken "$(cat "$RUN/verdict.txt")" ;; *) failed "$(cat "$RUN/verdict.txt")" ;; esac
+}
