daemon: start the test's VMs again if an address was taken

A control VM whose free port had been taken in between ended at once and unnoticed, and a test that then stopped the leader waited 30 s for a quorum that could not be.

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -59,8 +59,79 @@
 	return out
 }
 
-// newCluster starts three control VMs, three entries and three upstreams.
+// newCluster starts three control VMs, three entries and three upstreams. An
+// address that was free may be taken by now, so it tries some times.
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	const tries = 5
+	for range tries {
+		c := prepare(t)
+		t.Cleanup(c.close)
+		if c.startVMs() {
+			c.startUpstreams()
+			c.awaitReady()
+			return c
+		}
+		c.close()
+	}
+	t.Fatal("the VMs don't start")
+	return nil
+}
+
+func (c *cluster) startVMs() bool {
+	for _, v := range c.settings.VMs {
+		c.launch(v.Name, c.t.TempDir())
+	}
+	for _, v := range c.settings.VMs {
+		if !c.isLive(v.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// isLive waits until a VM answers or has ended.
+func (c *cluster) isLive(name catalog.VMID) bool {
+	r := c.running[name]
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pause) {
+		select {
+		case err := <-r.done:
+			c.t.Logf("%s ended: %v", name, err)
+			r.done <- err
+			return false
+		default:
+		}
+		a, err := http.Get("http://" + c.vm(name).AdminAddress + "/live")
+		if err == nil {
+			_ = a.Body.Close()
+			return true
+		}
+	}
+	return false
+}
+
+// start begins a new life of a VM once its addresses are free.
+func (c *cluster) start(name catalog.VMID, data string) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pause) {
+		c.launch(name, data)
+		if c.isLive(name) {
+			return
+		}
+	}
+	c.t.Fatalf("%s does not start", name)
+}
+
+func (c *cluster) awaitReady() {
+	for _, v := range c.settings.VMs {
+		if v.Role == settings.RoleEntry {
+			c.must(v.Name, "", fmt.Sprintf("INSERT INTO ready (key, value) VALUES ('%s', '1')", v.Name))
+		}
+	}
+}
+
+// prepare returns a cluster in which nothing runs yet.
+func prepare(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, settings: settings.Default(), running: map[catalog.VMID]*running{}}
 	s := c.settings
@@ -77,16 +148,6 @@
 		s.VMs = append(s.VMs, k, e)
 		s.Control.Members = append(s.Control.Members, settings.Member{VM: k.Name, Site: site, Address: k.PeerAddress})
 	}
-	for _, v := range s.VMs {
-		c.start(v.Name, t.TempDir())
-	}
-	t.Cleanup(c.close)
-	c.startUpstreams()
-	for _, v := range s.VMs {
-		if v.Role == settings.RoleEntry {
-			c.must(v.Name, "", fmt.Sprintf("INSERT INTO ready (key, value) VALUES ('%s', '1')", v.Name))
-		}
-	}
 	return c
 }
 
@@ -113,7 +174,7 @@
 	return v
 }
 
-func (c *cluster) start(name catalog.VMID, data string) {
+func (c *cluster) launch(name catalog.VMID, data string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{cancel: cancel, drain: make(chan struct{}), done: make(chan error, 1)}
 	c.running[name] = r
