scripts: measure both users' sizes on loopback

Adds make measure with its program, settings at both users' sizes, and [policy], the plain choices that the table compares with: reads at the primary, equal shares. Both are off by default.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,10 @@
 run: build
 	sh scripts/run.sh
 
+.PHONY: measure
+measure: build
+	sh scripts/measure.sh
+
 .PHONY: up
 up: build
 	sh scripts/up.sh
--- /dev/null
+++ b/cmd/kingcupknot-measure/load.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/measure"
+	"github.com/kingcupknot/kingcupknot/workload"
+)
+
+type load struct {
+	record
+	Out      string        `long:"out" required:"true" description:"File for the operations"`
+	Entry    []string      `long:"entry" required:"true" description:"IP:PORT of an entry; repeatable"`
+	Service  []string      `long:"service" required:"true" description:"Service to use; repeatable"`
+	Duration time.Duration `long:"duration" default:"5s" description:"How long requests are started"`
+	Rate     float64       `long:"rate" default:"200" description:"Requests a second over all callers"`
+	Callers  int           `long:"callers" default:"20" description:"Callers, each with one session"`
+	Browse   float64       `long:"browse" description:"Share of browsing reads, 0 to 1"`
+	Reads    float64       `long:"reads" description:"Share of own reads among the others, 0 for the usual mix"`
+	MaxAge   time.Duration `long:"max-age" default:"500ms" description:"Age that browsing reads accept"`
+	Mode     string        `long:"session-mode" default:"token" choice:"token" choice:"id" description:"How sessions are told apart"`
+	Seed     uint64        `long:"seed" default:"1" description:"Seed of the draws"`
+}
+
+// Execute runs the callers.
+func (c *load) Execute([]string) error {
+	r, err := workload.Run(context.Background(), workload.Options{
+		Entries: c.Entry, Services: c.Service, Duration: c.Duration, Rate: c.Rate, Callers: c.Callers,
+		Browse: c.Browse, Reads: c.Reads, MaxAge: c.MaxAge, Move: true,
+		Mode: workload.SessionMode(c.Mode), Seed: c.Seed, User: "caller",
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := r.Report(os.Stderr, false); err != nil {
+		return errors.Trace(err)
+	}
+	v := r.Verdict
+	lost := v.Lost
+	bad := v.Doubled + v.Stale + v.TooOld + v.Invented + v.RefusedPresent
+	if v.SumWrong {
+		// A transfer that no replica had takes effect nowhere, so the sum
+		// stays right through every failover.
+		bad++
+	}
+	if err := c.add("violations", float64(bad)); err != nil {
+		return err
+	}
+	if err := c.add("lost", float64(lost)); err != nil {
+		return err
+	}
+	asked := float64(len(r.Operations))
+	if asked > 0 {
+		if err := c.add("sent-ratio", (asked+float64(r.Resent))/asked); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(os.Stderr, "hinted %d, resent %d\n", r.Hinted, r.Resent)
+	if s := r.Summary(); c.Browse == 1 && s.Refused > 0 {
+		if err := c.add("browse-hinted", float64(r.Hinted)/float64(s.Refused)*percent); err != nil {
+			return err
+		}
+	}
+	return measure.Write(c.Out, r)
+}
+
+const percent = 100
--- /dev/null
+++ b/cmd/kingcupknot-measure/probes.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/measure"
+)
+
+type stats struct {
+	record
+	Upstream    []string `long:"upstream" required:"true" description:"IP:PORT of an instance's HTTP; repeatable"`
+	Connections int      `long:"connections" required:"true" description:"Limit of connections"`
+	Slots       int      `long:"slots" required:"true" description:"Limit of statements"`
+}
+
+// Execute asks all instances that answer.
+func (c *stats) Execute([]string) error {
+	connections, executing, refused := -c.Connections, -c.Slots, uint64(0)
+	for _, a := range c.Upstream {
+		s, err := measure.Stats(a)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, a, "does not answer")
+			continue
+		}
+		connections = max(connections, s.ConnectionsHighest-c.Connections)
+		executing = max(executing, s.ExecutingHighest-c.Slots)
+		refused += s.Refused
+	}
+	if err := c.add("connections-over", float64(connections)); err != nil {
+		return err
+	}
+	if err := c.add("connections-refused", float64(refused)); err != nil {
+		return err
+	}
+	return c.add("executing-over", float64(executing))
+}
+
+type hold struct {
+	record
+	Entry       string        `long:"entry" required:"true" description:"IP:PORT of the entry"`
+	Service     string        `long:"service" required:"true" description:"Service to use"`
+	Upstream    string        `long:"upstream" required:"true" description:"IP:PORT of the primary's HTTP"`
+	Connections int           `long:"connections" required:"true" description:"Limit of connections"`
+	Duration    time.Duration `long:"duration" default:"3s" description:"How long they are held"`
+}
+
+// Execute holds more transactions than the limit and takes the connections
+// that the primary has just before their end.
+func (c *hold) Execute([]string) error {
+	held := make(chan int, 1)
+	go func() {
+		held <- measure.Hold(context.Background(), c.Entry, c.Service, 2*c.Connections, c.Duration)
+	}()
+	time.Sleep(c.Duration * 9 / 10)
+	s, err := measure.Stats(c.Upstream)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Fprintf(os.Stderr, "%d transactions began, %d connections of %d\n", <-held, s.Connections, c.Connections)
+	return c.add("limit-use", float64(s.Connections)/float64(c.Connections)*percent)
+}
+
+type latency struct {
+	record
+	Entry    string        `long:"entry" required:"true" description:"IP:PORT of the entry"`
+	Direct   string        `long:"direct" required:"true" description:"IP:PORT of an instance"`
+	Service  string        `long:"service" required:"true" description:"Service to use"`
+	PID      int           `long:"pid" required:"true" description:"Process of the entry"`
+	Conns    int           `long:"conns" default:"8" description:"Connections for the throughput"`
+	Duration time.Duration `long:"duration" default:"1s" description:"How long each is measured"`
+}
+
+// Execute takes turns between the direct way and the entry.
+func (c *latency) Execute([]string) error {
+	ctx := context.Background()
+	for row, mode := range map[string]pgx.QueryExecMode{
+		"added-simple": pgx.QueryExecModeSimpleProtocol, "added-extended": pgx.QueryExecModeCacheStatement,
+	} {
+		direct, err := measure.Ask(ctx, c.Direct, c.Service, mode, c.Duration)
+		if err != nil {
+			return errors.Annotate(err, "direct")
+		}
+		through, err := measure.Ask(ctx, c.Entry, c.Service, mode, c.Duration)
+		if err != nil {
+			return errors.Annotate(err, "through the entry")
+		}
+		added := measure.Median(through) - measure.Median(direct)
+		fmt.Fprintln(os.Stderr, row, measure.Median(direct), measure.Median(through))
+		if err := c.add(row, float64(added)/float64(time.Microsecond)); err != nil {
+			return err
+		}
+	}
+	before, err := measure.ProcessorTime(c.PID)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n := measure.AskAll(ctx, c.Entry, c.Service, c.Conns, c.Duration)
+	after, err := measure.ProcessorTime(c.PID)
+	if err != nil || after == before {
+		return errors.Trace(err)
+	}
+	return c.add("per-core", float64(n)/(after-before).Seconds())
+}
+
+type fact struct {
+	record
+	Row   string  `long:"row" required:"true" description:"Row of the table"`
+	Value float64 `long:"value" required:"true" description:"The value"`
+}
+
+// Execute adds the value.
+func (c *fact) Execute([]string) error {
+	return c.add(c.Row, c.Value)
+}
+
+type table struct {
+	Facts string   `long:"facts" required:"true" description:"File of facts"`
+	Note  string   `long:"note" description:"First line of the table"`
+	User  []string `long:"user" description:"User to print; repeatable"`
+}
+
+// Execute prints the table.
+func (c *table) Execute([]string) error {
+	facts, err := measure.ReadFacts(c.Facts)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return measure.NewTable(c.Note, facts, c.User...).Print(os.Stdout)
+}
--- /dev/null
+++ b/measure/probe.go
@@ -0,0 +1,131 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/standin"
+)
+
+// probeTime bounds one question to a process.
+const probeTime = 2 * time.Second
+
+// Stats asks a stand-in for its counts.
+func Stats(address string) (standin.Stats, error) {
+	var out standin.Stats
+	c := http.Client{Timeout: probeTime}
+	answer, err := c.Get("http://" + address + "/stats")
+	if err != nil {
+		return out, errors.Trace(err)
+	}
+	defer answer.Body.Close()
+	return out, errors.Trace(json.NewDecoder(answer.Body).Decode(&out))
+}
+
+func connect(ctx context.Context, address, service string) (*pgx.Conn, error) {
+	c, err := pgx.Connect(ctx, "postgres://caller@"+address+"/"+service+"?sslmode=disable")
+	return c, errors.Trace(err)
+}
+
+// Ask reads one row over and over on one connection for a while and returns
+// how long each read took.
+func Ask(ctx context.Context, address, service string, mode pgx.QueryExecMode, length time.Duration) ([]time.Duration, error) {
+	c, err := connect(ctx, address, service)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close(ctx)
+	var took []time.Duration
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		start := time.Now()
+		if _, err := c.Exec(ctx, "SELECT value FROM register WHERE key = 'measure'", mode); err != nil {
+			return nil, errors.Trace(err)
+		}
+		took = append(took, time.Since(start))
+	}
+	return took, nil
+}
+
+// AskAll runs Ask on several connections side by side and counts the reads.
+func AskAll(ctx context.Context, address, service string, conns int, length time.Duration) int {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	n := 0
+	for range conns {
+		all.Go(func() {
+			took, _ := Ask(ctx, address, service, pgx.QueryExecModeSimpleProtocol, length)
+			mu.Lock()
+			defer mu.Unlock()
+			n += len(took)
+		})
+	}
+	all.Wait()
+	return n
+}
+
+// Hold opens transactions at one entry and holds each open until the end. It
+// returns how many began.
+func Hold(ctx context.Context, address, service string, count int, length time.Duration) int {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	began := 0
+	for range count {
+		all.Go(func() {
+			c, err := connect(ctx, address, service)
+			if err != nil {
+				return
+			}
+			defer c.Close(context.Background())
+			for ctx.Err() == nil {
+				if _, err := c.Exec(ctx, "BEGIN", pgx.QueryExecModeSimpleProtocol); err == nil {
+					mu.Lock()
+					began++
+					mu.Unlock()
+					<-ctx.Done()
+				}
+			}
+		})
+	}
+	all.Wait()
+	return began
+}
+
+const (
+	// tick is the unit of processor times under /proc, as the kernel tells
+	// all programs.
+	tick = 10 * time.Millisecond
+	// statUser and statSystem are fields of /proc/PID/stat, counted from the
+	// one after the name.
+	statUser   = 11
+	statSystem = 12
+)
+
+// ProcessorTime returns what a process has used of the processors.
+func ProcessorTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	part := strings.Fields(rest)
+	if len(part) <= statSystem {
+		return 0, errors.Errorf("the stat file of process %d is short", pid)
+	}
+	user, err := strconv.Atoi(part[statUser])
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	system, err := strconv.Atoi(part[statSystem])
+	return time.Duration(user+system) * tick, errors.Trace(err)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -24,6 +24,10 @@
 	Neighbours []catalog.VMID
 	// Observers is how many entries of a site observe a service, 0 for all.
 	Observers int
+	// ReadPrimary sends all reads to the primary.
+	ReadPrimary bool
+	// EqualShares asks for the same share of an upstream at every entry.
+	EqualShares bool
 	// Queue is the most requests that wait per service.
 	Queue int
 	// Settings and Version are the last accepted configuration known.
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -303,6 +303,9 @@
 	if !e.takesWork(i) {
 		return 0
 	}
+	if e.options.EqualShares {
+		return i.equalShare(len(e.options.Peers))
+	}
 	n := max(i.demand[0], i.demand[1]) + 1
 	if e.inUse(i.service) {
 		n = max(n, 2)
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -13,7 +13,8 @@
 	s := e.services[v.Service]
 	r := &entryRequest{RequestArrived: v, service: s, arrived: e.now, step: e.steps, queued: e.now}
 	r.Class = min(v.Class, ClassBrowse)
-	r.floorKnown = !v.FloorUnknown
+	r.primaryOnly = e.options.ReadPrimary
+	r.floorKnown = !v.FloorUnknown || r.primaryOnly
 	e.requests[r.Request] = r
 	if s == nil || !s.accepted {
 		e.refuse(r, "the service is not in the accepted configuration", e.unknownRetry())
--- a/settings/merge.go
+++ b/settings/merge.go
@@ -23,6 +23,7 @@
 	"security":   true,
 	"statements": true,
 	"service":    true,
+	"policy":     true,
 }
 
 // clashes reports what an overlay changes though all sites must share it.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,7 @@
 	Log        Log
 	Trace      Trace
 	Limits     Limits
+	Policy     Policy
 	// Services are the first accepted configuration; later ones come from
 	// control.
 	Services []catalog.Service
@@ -119,6 +120,7 @@
 	s.readLog(t.child("log"))
 	s.readTrace(t.child("trace"))
 	s.readLimits(t.child("limits"))
+	s.readPolicy(t.child("policy"))
 	s.readServices(t)
 	t.finish()
 }
--- a/workload/caller.go
+++ b/workload/caller.go
@@ -85,6 +85,11 @@
 		c.browse(ctx, o)
 		return
 	}
+	if reads := c.run.options.Reads; reads > 0 && c.random.Float64() < reads {
+		o.Kind, o.Key = history.KindRead, c.row("register", c.number)
+		c.read(ctx, o, hints{})
+		return
+	}
 	switch n := c.random.IntN(100); {
 	case n < shareBooking:
 		c.book(ctx, o)
@@ -136,6 +141,7 @@
 	a := c.ask(ctx, h, text, o.Key, c.session)
 	for ; tries > 0 && a.outcome == history.OutcomeUnknown; tries-- {
 		c.otherEntry()
+		c.run.resent.Add(1)
 		again := c.ask(ctx, h, text, o.Key, c.session)
 		// A refusal is of this sending; the ones before stay unknown.
 		if again.outcome == history.OutcomeAcknowledged {
--- a/workload/request.go
+++ b/workload/request.go
@@ -152,6 +152,9 @@
 	}
 	switch {
 	case e.Code == codeNotRun && strings.HasPrefix(e.Message, notRun):
+		if e.Hint != "" {
+			c.run.hinted.Add(1)
+		}
 		return history.OutcomeRefused
 	case strings.HasPrefix(e.Code, "08"), strings.HasPrefix(e.Code, "57P"):
 		return history.OutcomeUnknown
--- a/workload/run.go
+++ b/workload/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -49,6 +50,9 @@
 	Callers int
 	// Browse is the share of requests that are browsing reads, 0 to 1.
 	Browse float64
+	// Reads is the share of the requests other than browsing that only read
+	// what the session wrote, 0 for the usual mix.
+	Reads float64
 	// MaxAge is the age that browsing reads accept.
 	MaxAge time.Duration
 	// Move sends each request of a session to a random entry.
@@ -61,6 +65,12 @@
 
 // Result is what a run gave.
 type Result struct {
+	// Start is the instant that the operations' times count from.
+	Start time.Time
+	// Resent counts sendings beyond the first of a request, Hinted the
+	// refusals that said when to come back.
+	Resent     int
+	Hinted     int
 	Operations []history.Operation
 	Verdict    history.Verdict
 }
@@ -72,6 +82,9 @@
 	name  string
 	start time.Time
 
+	resent atomic.Int64
+	hinted atomic.Int64
+
 	mu         sync.Mutex
 	operations []history.Operation
 }
@@ -99,7 +112,9 @@
 	if err != nil {
 		return Result{Operations: r.operations}, err
 	}
-	return Result{Operations: r.operations, Verdict: history.Check(r.operations, final)}, nil
+	out := Result{Start: r.start, Operations: r.operations, Verdict: history.Check(r.operations, final)}
+	out.Resent, out.Hinted = int(r.resent.Load()), int(r.hinted.Load())
+	return out, nil
 }
 
 // each runs do for all callers side by side and returns the first error.
