--- a/cmd/kingcupknot-measure/load.go
+++ b/cmd/kingcupknot-measure/load.go
@@ -23,6 +23,8 @@
 	Browse   float64       `long:"browse" description:"Share of browsing reads, 0 to 1"`
 	Reads    float64       `long:"reads" description:"Share of own reads among the others, 0 for the usual mix"`
 	MaxAge   time.Duration `long:"max-age" default:"500ms" description:"Age that browsing reads accept"`
+	Deadline time.Duration `long:"deadline" description:"Deadline of each request, 0 for the usual one"`
+	Stay     bool          `long:"stay" description:"Keep each session at one entry"`
 	Mode     string        `long:"session-mode" default:"token" choice:"token" choice:"id" description:"How sessions are told apart"`
 	Seed     uint64        `long:"seed" default:"1" description:"Seed of the draws"`
 }
@@ -31,8 +33,9 @@
 func (c *load) Execute([]string) error {
 	r, err := workload.Run(context.Background(), workload.Options{
 		Entries: c.Entry, Services: c.Service, Duration: c.Duration, Rate: c.Rate, Callers: c.Callers,
-		Browse: c.Browse, Reads: c.Reads, MaxAge: c.MaxAge, Move: true,
-		Mode: workload.SessionMode(c.Mode), Seed: c.Seed, User: "caller",
+		Browse: c.Browse, Reads: c.Reads, MaxAge: c.MaxAge, Move: !c.Stay,
+		Deadline: c.Deadline,
+		Mode:     workload.SessionMode(c.Mode), Seed: c.Seed, User: "caller",
 	})
 	if err != nil {
 		return errors.Trace(err)
--- /dev/null
+++ b/measure/measure_test.go
@@ -0,0 +1,116 @@
+package measure
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/history"
+	"github.com/kingcupknot/kingcupknot/workload"
+)
+
+var zero = time.Unix(1000, 0)
+
+const ms = time.Millisecond
+
+func op(session string, k history.Kind, start, end time.Duration, replica bool) Operation {
+	return Operation{
+		StartedAt: zero.Add(start), EndedAt: zero.Add(end),
+		Operation: history.Operation{
+			Service: "shop", Session: session, Kind: k, Outcome: history.OutcomeAcknowledged, Replica: replica,
+		},
+	}
+}
+
+func TestGapAndRecovery(t *testing.T) {
+	var all []Operation
+	for at := time.Duration(0); at < 4*time.Second; at += 5 * ms {
+		if at > time.Second && at < 1200*ms {
+			continue
+		}
+		all = append(all, op("s", history.KindWrite, at, at+ms, false))
+	}
+	m := Mark{At: zero.Add(1003 * ms), Service: "shop"}
+	if got, ok := Gap(all, m); !ok || got != 200*ms {
+		t.Errorf("the gap is %v, %v", got, ok)
+	}
+	if got, ok := Recovery(all, m); !ok || got != 300*ms {
+		t.Errorf("goodput was back after %v, %v", got, ok)
+	}
+	if _, ok := Gap(all, Mark{At: zero.Add(time.Minute), Service: "shop"}); ok {
+		t.Error("a gap was found after the last write")
+	}
+	if got, ok := Recovery(all, Mark{At: zero.Add(2500 * ms), Service: "shop"}); !ok || got != 0 {
+		t.Errorf("without a dip, goodput was back after %v, %v", got, ok)
+	}
+	bad := op("s", history.KindRead, 1100*ms, 1150*ms, false)
+	bad.Outcome = history.OutcomeRefused
+	if n := NotDone(append(all, bad), m); n != 1 {
+		t.Errorf("%d were not done", n)
+	}
+}
+
+func TestShare(t *testing.T) {
+	all := []Operation{
+		op("a", history.KindWrite, 0, 10*ms, false),
+		op("a", history.KindRead, 40*ms, 41*ms, false),   // before the lag has passed
+		op("a", history.KindRead, 60*ms, 61*ms, true),    // possible, served
+		op("a", history.KindRead, 100*ms, 101*ms, false), // possible, not served
+		op("b", history.KindBrowse, 20*ms, 21*ms, true),
+	}
+	if served, possible := Share(all, 50*ms, history.KindRead); served != 1 || possible != 2 {
+		t.Errorf("%d of %d", served, possible)
+	}
+	if served, possible := Share(all, 50*ms, history.KindBrowse); served != 1 || possible != 1 {
+		t.Errorf("browsing: %d of %d", served, possible)
+	}
+}
+
+func TestFiles(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "operations")
+	r := workload.Result{Start: zero, Operations: []history.Operation{
+		{Service: "shop", Session: "a", Kind: history.KindRead, Start: ms, End: 3 * ms, Outcome: history.OutcomeRefused, Replica: true},
+	}}
+	if err := Write(name, r); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Read(name)
+	if err != nil || len(got) != 1 || !got[0].EndedAt.Equal(zero.Add(3*ms)) || !got[0].Replica {
+		t.Fatalf("read back %+v, %v", got, err)
+	}
+	facts := filepath.Join(t.TempDir(), "facts")
+	for _, x := range []Fact{
+		{UserAlWusta, "own", "gap-killed", 20},
+		{UserAlWusta, "own", "gap-killed", 310},
+		{UserAlWusta, PolicyPlain, "gap-killed", 40},
+		{UserAlWusta, "own", "limit-use", 95},
+	} {
+		if err := Append(facts, x); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read, err := ReadFacts(facts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	verdicts := map[string]string{}
+	table := NewTable("note", read, UserAlWusta)
+	for _, l := range table.Lines {
+		verdicts[l.Figure] = l.Verdict
+		if l.Figure == "gap-killed" && (*l.Median != 165 || *l.Worst != 310 || *l.Spread != 290 || *l.Baseline != 40) {
+			t.Errorf("the line is %+v", l)
+		}
+	}
+	if verdicts["gap-killed"] != VerdictMiss || verdicts["limit-use"] != VerdictHit || verdicts["gap-frozen"] != VerdictNotRun {
+		t.Errorf("verdicts are %v", verdicts)
+	}
+	var out strings.Builder
+	if err := table.Print(&out); err != nil {
+		t.Fatal(err)
+	}
+	printed := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if !strings.HasPrefix(printed[len(printed)-1], `{"note":"note"`) {
+		t.Error("the last line is not the JSON object")
+	}
+}
--- a/measure/probe.go
+++ b/measure/probe.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -31,6 +32,24 @@
 	return out, errors.Trace(json.NewDecoder(answer.Body).Decode(&out))
 }
 
+// Counter asks a VM for one of its counters, 0 if it has not counted yet.
+func Counter(address, name string) (float64, error) {
+	c := http.Client{Timeout: probeTime}
+	answer, err := c.Get("http://" + address + "/metrics")
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer answer.Body.Close()
+	s := bufio.NewScanner(answer.Body)
+	for s.Scan() {
+		if value, ok := strings.CutPrefix(s.Text(), "kingcupknot_"+name+" "); ok {
+			n, err := strconv.ParseFloat(value, 64)
+			return n, errors.Trace(err)
+		}
+	}
+	return 0, errors.Trace(s.Err())
+}
+
 func connect(ctx context.Context, address, service string) (*pgx.Conn, error) {
 	c, err := pgx.Connect(ctx, "postgres://caller@"+address+"/"+service+"?sslmode=disable")
 	return c, errors.Trace(err)
@@ -43,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer c.Close(ctx)
+	defer func() { _ = c.Close(ctx) }()
 	var took []time.Duration
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		start := time.Now()
@@ -86,7 +105,7 @@
 			if err != nil {
 				return
 			}
-			defer c.Close(context.Background())
+			defer func() { _ = c.Close(context.Background()) }()
 			for ctx.Err() == nil {
 				if _, err := c.Exec(ctx, "BEGIN", pgx.QueryExecModeSimpleProtocol); err == nil {
 					mu.Lock()
--- a/scripts/measure/set.sh
+++ b/scripts/measure/set.sh
@@ -17,12 +17,13 @@
     SERVICES="guides porters payments" SLOTS=2 CONNECTIONS=30 CONNECT=25ms
     ;;
   esac
-  ENTRIES="" ENTRY_ADDRESSES="" ANNOUNCE="" LOAD_SERVICES="" STATS="" ADMINS=""
+  ENTRIES="" ENTRY_ADDRESSES="" ENTRY_ADMINS="" ANNOUNCE="" LOAD_SERVICES="" STATS="" ADMINS=""
   n=0
   for _ in $ENTRY_SITES; do
     n=$((n + 1))
     ENTRIES="$ENTRIES entry-$n"
     ENTRY_ADDRESSES="$ENTRY_ADDRESSES --entry 127.0.0.1:$((BASE + 200 + n))"
+    ENTRY_ADMINS="$ENTRY_ADMINS --entry 127.0.0.1:$((BASE + 110 + n))"
     ANNOUNCE="$ANNOUNCE --announce 127.0.0.1:$((BASE + 110 + n))"
   done
   for i in 1 2 3; do ADMINS="$ADMINS --address 127.0.0.1:$((BASE + 100 + i))"; done
--- a/workload/request.go
+++ b/workload/request.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	deadlineHint = "2s"
-	closeTime    = 100 * time.Millisecond
-	codeNotRun   = "57P03"
-	notRun       = "not run:"
+	usualDeadline = 2 * time.Second
+	closeTime     = 100 * time.Millisecond
+	codeNotRun    = "57P03"
+	notRun        = "not run:"
 )
 
 // hints are what a request tells the entry beside its statement.
@@ -57,7 +57,11 @@
 		add("max-age", h.maxAge.String())
 	}
 	add("class", h.class)
-	add("deadline", deadlineHint)
+	deadline := c.run.options.Deadline
+	if deadline == 0 {
+		deadline = usualDeadline
+	}
+	add("deadline", deadline.String())
 	return "/* kingcupknot: " + strings.Join(pairs, ", ") + " */ "
 }
 
--- a/workload/run.go
+++ b/workload/run.go
@@ -55,6 +55,8 @@
 	Reads float64
 	// MaxAge is the age that browsing reads accept.
 	MaxAge time.Duration
+	// Deadline is what requests tell the entry, zero for the usual one.
+	Deadline time.Duration
 	// Move sends each request of a session to a random entry.
 	Move     bool
 	Mode     SessionMode
@@ -102,6 +104,8 @@
 	if err := each(callers, func(c *caller) error { return c.setUp(ctx) }); err != nil {
 		return Result{}, err
 	}
+	r.resent.Store(0)
+	r.hinted.Store(0)
 	r.start = time.Now()
 	_ = each(callers, func(c *caller) error { c.loop(ctx); return nil })
 	for _, c := range callers {
