--- a/workload/run.go
+++ b/workload/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -49,8 +50,13 @@
 	Callers int
 	// Browse is the share of requests that are browsing reads, 0 to 1.
 	Browse float64
+	// Reads is the share of the requests other than browsing that only read
+	// what the session wrote, 0 for the usual mix.
+	Reads float64
 	// MaxAge is the age that browsing reads accept.
 	MaxAge time.Duration
+	// Deadline is what requests tell the entry, zero for the usual one.
+	Deadline time.Duration
 	// Move sends each request of a session to a random entry.
 	Move     bool
 	Mode     SessionMode
@@ -61,6 +67,12 @@
 
 // Result is what a run gave.
 type Result struct {
+	// Start is the instant that the operations' times count from.
+	Start time.Time
+	// Resent counts sendings beyond the first of a request, Hinted the
+	// refusals that said when to come back.
+	Resent     int
+	Hinted     int
 	Operations []history.Operation
 	Verdict    history.Verdict
 }
@@ -72,6 +84,9 @@
 	name  string
 	start time.Time
 
+	resent atomic.Int64
+	hinted atomic.Int64
+
 	mu         sync.Mutex
 	operations []history.Operation
 }
@@ -89,6 +104,8 @@
 	if err := each(callers, func(c *caller) error { return c.setUp(ctx) }); err != nil {
 		return Result{}, err
 	}
+	r.resent.Store(0)
+	r.hinted.Store(0)
 	r.start = time.Now()
 	_ = each(callers, func(c *caller) error { c.loop(ctx); return nil })
 	for _, c := range callers {
@@ -99,7 +116,9 @@
 	if err != nil {
 		return Result{Operations: r.operations}, err
 	}
-	return Result{Operations: r.operations, Verdict: history.Check(r.operations, final)}, nil
+	out := Result{Start: r.start, Operations: r.operations, Verdict: history.Check(r.operations, final)}
+	out.Resent, out.Hinted = int(r.resent.Load()), int(r.hinted.Load())
+	return out, nil
 }
 
 // each runs do for all callers side by side and returns the first error.
