listener: tell a caller that crosses a planned stop that nothing ran

An entry that stopped closed idle connections with 57P01 and at once: a request on its way met a reset or an end of file, and its caller could not tell that it never ran. The farewell is now 57P03 'not run' with a hint, the connection is half closed, and what still comes is read for up to 500 ms.

--- a/listener/caller.go
+++ b/listener/caller.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -93,6 +94,9 @@
 		b, f := c.gather()
 		if f != nil {
 			c.say(f)
+			if f.Linger {
+				c.linger()
+			}
 			return
 		}
 		if b == nil {
@@ -105,6 +109,33 @@
 	}
 }
 
+// linger lets the caller read the last word before the connection is closed. A
+// connection closed with unread bytes is reset, and the caller would not know
+// that its request was never begun.
+func (c *caller) linger() {
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	end := time.After(lingerTime)
+	for {
+		select {
+		case <-c.messages:
+		case <-c.gone:
+			return
+		case <-end:
+			return
+		}
+	}
+}
+
+const (
+	// lingerTime bounds the wait for a caller to close a connection that it
+	// was told to leave.
+	lingerTime = 500 * time.Millisecond
+	// stopRetry is the hint of an entry that stops; others take over at once.
+	stopRetry = 50 * time.Millisecond
+)
+
 // leave ends what the caller leaves behind.
 func (c *caller) leave() {
 	close(c.left)
--- a/listener/caller_test.go
+++ b/listener/caller_test.go
@@ -262,6 +262,28 @@
 	})
 }
 
+func TestRequestThatCrossesAStop(t *testing.T) {
+	d := begin(t, 1, nil)
+	Convey("a request sent while the entry says farewell finds that as its answer", t, func() {
+		conn, err := connect(t, d, "").PgConn().Hijack()
+		So(err, ShouldBeNil)
+		defer func() { _ = conn.Conn.Close() }()
+		d.server.Drain()
+		for range 3 {
+			// Each write meets the other end still open, whatever is read.
+			conn.Frontend.Send(&pgproto3.Query{String: "SELECT 1"})
+			So(conn.Frontend.Flush(), ShouldBeNil)
+		}
+		m, err := conn.Frontend.Receive()
+		So(err, ShouldBeNil)
+		e, ok := m.(*pgproto3.ErrorResponse)
+		So(ok, ShouldBeTrue)
+		So(e.Code, ShouldEqual, codeNotRun)
+		So(e.Message, ShouldStartWith, "not run:")
+		So(e.Hint, ShouldNotBeEmpty)
+	})
+}
+
 func TestOutcomes(t *testing.T) {
 	primary := startUpstream(t, standin.Options{})
 	replica := startUpstream(t, standin.Options{Follow: primary.Address})
--- a/listener/fault.go
+++ b/listener/fault.go
@@ -22,7 +22,6 @@
 	codeTooManyCallers  = "53300"
 	codeLimit           = "54000"
 	codeCanceled        = "57014"
-	codeShutdown        = "57P01"
 	codeNotRun          = "57P03"
 	codeUniqueViolation = "23505"
 )
@@ -34,6 +33,9 @@
 	Hint string
 	// Fatal ends the caller's connection.
 	Fatal bool
+	// Linger keeps reading for a while after a fatal fault, so that a request
+	// that crosses it on the way finds it as its answer.
+	Linger bool
 }
 
 // Error makes a fault an error.
--- a/listener/read.go
+++ b/listener/read.go
@@ -162,7 +162,10 @@
 		}
 		return nil, nil
 	case <-draining:
-		return nil, &fault{Code: codeShutdown, Text: "this entry is stopping; connect again", Fatal: true}
+		return nil, &fault{
+			Code: codeNotRun, Text: "not run: this entry is stopping; connect again", Fatal: true,
+			Hint: retryHint(stopRetry), Linger: true,
+		}
 	}
 }
 
