--- a/scripts/measure/faults.sh
+++ b/scripts/measure/faults.sh
@@ -110,6 +110,10 @@
     "$BIN/kingcupknot" $ADMINS primary switch "$s" --to "$s-$site" >>"$RUN/switch.log" 2>&1
     sleep 1.5
   fi
+  if [ "$(leader)" != "$first" ] || [ "$(status "$s" 2)" != "$s-$site" ]; then
+    echo "site $site has not both the leader and the primary of $s" >&2
+    return 1
+  fi
   mark gap-site "$s"
   end "control-$site" KILL
   n=0
--- a/scripts/measure/set.sh
+++ b/scripts/measure/set.sh
@@ -81,6 +81,7 @@
 start_size() {
   size
   mkdir -p "$RUN"
+  rm -rf "$RUN"/data-*
   cp "scripts/measure/$USER_SIZE.toml" "$RUN/base.toml"
   [ "$POLICY" = plain ] && cat scripts/measure/plain.toml >>"$RUN/base.toml"
   for i in 1 2 3; do control $i; done
