node: share an upstream's connections by max-min, rounded up

Under load a frozen primary was replaced only when it thawed: 15 connections for 8 entries were shared as 15/8 rounded down, and an entry with a single one, held by the stuck statement, could not probe. Each now has what it wants up to an equal part of the rest, rounded up, never over the limit in sum.

--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -105,10 +106,10 @@
 	}
 	wanted := max(w.Wanted-local, 0)
 	lendable := c.lendable(s, u)
-	others, asking, starved := c.otherGrants(vm, id, u.said.Site, s)
+	others, wants, starved := c.otherGrants(vm, id, u.said.Site, s)
 	most := lendable
 	if starved {
-		most = max(lendable/(asking+1), 1)
+		most = fairShare(lendable, append(wants, wanted))
 	}
 	return max(min(wanted, most, lendable-others), 0)
 }
@@ -120,9 +121,9 @@
 	return max(s.Limits.Connections-s.Limits.Reserved-near*s.Limits.LocalShare, 0)
 }
 
-// otherGrants sums what other entries may hold, counts those that ask for
-// some, and tells whether one of them wants more than it has.
-func (c *Control) otherGrants(vm catalog.VMID, id catalog.InstanceID, site catalog.SiteID, s catalog.Service) (sum, asking int, starved bool) {
+// otherGrants sums what other entries may hold, lists what they want, and tells
+// whether one of them wants more than it has.
+func (c *Control) otherGrants(vm catalog.VMID, id catalog.InstanceID, site catalog.SiteID, s catalog.Service) (sum int, wants []int, starved bool) {
 	for name, l := range c.loans[id] {
 		if name == vm {
 			continue
@@ -136,8 +137,24 @@
 		if wanted <= 0 {
 			continue
 		}
-		asking++
+		wants = append(wants, wanted)
 		starved = starved || held < wanted
 	}
-	return sum, asking, starved
+	return sum, wants, starved
+}
+
+// fairShare is the most that one of several entries may have so that those who
+// want less have all they want, rounded up: an entry with a single connection
+// could not probe while a statement is stuck on it.
+func fairShare(lendable int, wants []int) int {
+	slices.Sort(wants)
+	for n, w := range wants {
+		left := len(wants) - n
+		share := max((lendable+left-1)/left, 1)
+		if w > share {
+			return share
+		}
+		lendable = max(lendable-w, 0)
+	}
+	return lendable + wants[len(wants)-1]
 }
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -169,6 +169,15 @@
 	})
 }
 
+func TestFairShare(t *testing.T) {
+	Convey("who wants little has it, the others share the rest, rounded up", t, func() {
+		So(fairShare(15, []int{4, 4, 4, 4, 4, 4, 4, 4}), ShouldEqual, 2)
+		So(fairShare(15, []int{1, 1, 20}), ShouldEqual, 13)
+		So(fairShare(15, []int{5, 5, 5}), ShouldEqual, 5)
+		So(fairShare(3, []int{1, 1, 1, 1}), ShouldEqual, 1)
+	})
+}
+
 func TestChangesAreIdempotent(t *testing.T) {
 	o := newOffice(t, catalog.AckPrimary)
 	o.lead()
