--- a/journal/head.go
+++ b/journal/head.go
@@ -42,8 +42,10 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = checkHead(f, page)
-	return errors.Trace(err)
+	if _, err = checkHead(f, page); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(checkPages(path, page))
 }
 
 // checkHead checks the head of the page at an offset and returns the page size.
--- a/node/entry_catchup.go
+++ b/node/entry_catchup.go
@@ -108,7 +108,7 @@
 // answerSettings tells another entry what it lacks, and asks back if that one
 // has more.
 func (e *Entry) answerSettings(from catalog.VMID, ask wire.SettingsAsk) {
-	if !e.isPeer(from) {
+	if !e.isPeer(from) || (ask.Starting && !e.maySettle(from)) {
 		return
 	}
 	m := &wire.Settings{Version: e.version}
@@ -130,6 +130,21 @@
 	}
 }
 
+// maySettle reports whether an entry that starts may rest on what this one has.
+// Another site may have had newer settings from control before it was cut off,
+// so it is told only while control is heard here. Neighbours share the cut, and
+// the one that starts waits for all of them.
+func (e *Entry) maySettle(from catalog.VMID) bool {
+	if slices.Contains(e.catchUp.order[:e.catchUp.near], from) {
+		return true
+	}
+	return e.now.Sub(e.report.answeredAt) <= settleReports*e.options.Timings.Report
+}
+
+// settleReports is how many reports may go unanswered before an entry is no
+// longer sure of its settings.
+const settleReports = 3
+
 // takePeerSettings takes a higher version from another entry, and the primaries
 // it knows. It never gives a lease.
 func (e *Entry) takePeerSettings(from catalog.VMID, m wire.Settings) {
