--- a/node/control.go
+++ b/node/control.go
@@ -44,7 +44,7 @@
 	// entriesAt counts the entry VMs of each site.
 	entriesAt map[catalog.SiteID]int
 
-	// What follows is the leader's own and is lost with its office.
+	// What follows is the leader's own and is lost with its leadership.
 
 	leading bool
 	// graceEnds is when every lease and grant of earlier leaders has run out.
@@ -57,8 +57,8 @@
 	// were given a lease and have not given it back.
 	subscribers serviceVMs
 	holders     serviceVMs
-	// loans says who has and wants how many of an upstream's connections.
-	loans     map[catalog.InstanceID]map[catalog.VMID]*loan
+	// allocations says who has and wants how many of an upstream's connections.
+	allocations     map[catalog.InstanceID]map[catalog.VMID]*allocation
 	failovers map[catalog.ServiceID]*failover
 	proposals map[quorum.Index]proposal
 	joins     map[catalog.VMID]catalog.Incarnation
@@ -108,17 +108,17 @@
 	}
 	c.leaseHeld = func(until, now catalog.Instant) bool { return now < until }
 	c.enough = c.enoughAnswers
-	c.resetOffice()
+	c.resetLeadership()
 	return c, nil
 }
 
-func (c *Control) resetOffice() {
+func (c *Control) resetLeadership() {
 	c.leading = false
 	c.entries = map[catalog.VMID]*entryView{}
 	c.upstreams = map[catalog.InstanceID]*upstreamView{}
 	c.groups = map[catalog.ServiceID][]*upstreamView{}
 	c.subscribers, c.holders = serviceVMs{}, serviceVMs{}
-	c.loans = map[catalog.InstanceID]map[catalog.VMID]*loan{}
+	c.allocations = map[catalog.InstanceID]map[catalog.VMID]*allocation{}
 	c.failovers = map[catalog.ServiceID]*failover{}
 	c.proposals = map[quorum.Index]proposal{}
 	c.evidence = map[catalog.InstanceID]map[catalog.VMID]observation{}
@@ -189,7 +189,7 @@
 	if c.quorum.Wake() <= c.now {
 		c.drive(c.quorum.Tick(c.now))
 	}
-	c.watchOffice()
+	c.watchLeadership()
 	if c.leading && c.sweepAt <= c.now {
 		c.sweepAt = c.now.Add(sweepEvery)
 		c.sweep()
@@ -217,14 +217,14 @@
 	c.emit(Log{Part: part, Text: text, Pairs: pairs})
 }
 
-// watchOffice notices that this VM became the leader or is one no more.
-func (c *Control) watchOffice() {
+// watchLeadership notices that this VM became the leader or is one no more.
+func (c *Control) watchLeadership() {
 	leading := c.quorum.Leading()
 	if leading == c.leading {
 		return
 	}
 	waiting := c.waitingCommands()
-	c.resetOffice()
+	c.resetLeadership()
 	c.leading = leading
 	if !leading {
 		c.log("control", "Leads no more.")
@@ -284,7 +284,7 @@
 	}, 0)
 }
 
-// drain begins a planned stop: a leader hands its office over first.
+// drain begins a planned stop: a leader hands its leadership over first.
 func (c *Control) drain() {
 	c.draining = true
 	c.drainBy = c.now.Add(2 * c.options.Timings.Election)
--- a/node/control_fake_test.go
+++ b/node/control_fake_test.go
@@ -11,9 +11,9 @@
 
 const ms = time.Millisecond
 
-// office is one control VM in a quorum of its own, with a settable clock, and
+// bench is one control VM in a quorum of its own, with a settable clock, and
 // a group of three upstreams a (primary), b and c that answer surveys.
-type office struct {
+type bench struct {
 	t       *testing.T
 	control *Control
 	now     catalog.Instant
@@ -28,7 +28,7 @@
 	promoteFails bool
 }
 
-var officeEntries = map[catalog.VMID]catalog.SiteID{"e1": "s1", "e2": "s2", "e3": "s3"}
+var benchEntries = map[catalog.VMID]catalog.SiteID{"e1": "s1", "e2": "s2", "e3": "s3"}
 
 func ledger(ack catalog.AckMode) catalog.Service {
 	return catalog.Service{
@@ -37,12 +37,12 @@
 	}
 }
 
-func newOffice(t *testing.T, ack catalog.AckMode) *office {
+func newBench(t *testing.T, ack catalog.AckMode) *bench {
 	t.Helper()
 	self := quorum.Member{VM: "k1", Incarnation: 1, Voter: true}
-	o := &office{t: t, now: catalog.Instant(time.Second), sequence: map[catalog.VMID]uint64{}}
+	o := &bench{t: t, now: catalog.Instant(time.Second), sequence: map[catalog.VMID]uint64{}}
 	c, err := NewControl(ControlOptions{
-		VM: "k1", Timings: catalog.DefaultTimings(), Members: []catalog.VMID{"k1"}, Entries: officeEntries,
+		VM: "k1", Timings: catalog.DefaultTimings(), Members: []catalog.VMID{"k1"}, Entries: benchEntries,
 		Services: []catalog.Service{ledger(ack)}, SnapshotAfter: 1000, Seed: 1,
 		Saved: quorum.Saved{Self: self, Snapshot: quorum.Snapshot{Members: []quorum.Member{self}}},
 	}, o.now)
@@ -56,7 +56,7 @@
 }
 
 // feed steps the reducer and answers what a shell would answer at once.
-func (o *office) feed(in Input) {
+func (o *bench) feed(in Input) {
 	for _, e := range o.control.Step(Event{Now: o.now, Input: in}) {
 		o.all = append(o.all, e)
 		switch v := e.(type) {
@@ -72,7 +72,7 @@
 	}
 }
 
-func (o *office) promote(v Promote) {
+func (o *bench) promote(v Promote) {
 	p, alive := o.positions[v.Instance]
 	if o.promoteFails || !alive {
 		o.feed(Promoted{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch})
@@ -85,7 +85,7 @@
 	o.feed(Promoted{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch, OK: true, Position: p})
 }
 
-func (o *office) advance(d time.Duration) {
+func (o *bench) advance(d time.Duration) {
 	end := o.now.Add(d)
 	for o.now < end {
 		o.now = min(o.now.Add(5*ms), end)
@@ -93,7 +93,7 @@
 	}
 }
 
-func (o *office) announce() {
+func (o *bench) announce() {
 	o.said++
 	for _, id := range []catalog.InstanceID{"a", "b", "c"} {
 		if p, ok := o.positions[id]; ok {
@@ -106,25 +106,25 @@
 }
 
 // report sends one report of an entry with what it saw of the primary.
-func (o *office) report(vm catalog.VMID, seen ...wire.Observation) {
+func (o *bench) report(vm catalog.VMID, seen ...wire.Observation) {
 	o.sequence[vm]++
 	o.feed(PeerReceived{From: vm, Message: wire.Message{Report: &wire.Report{
-		VM: vm, Site: officeEntries[vm], Life: 1, Sequence: o.sequence[vm],
+		VM: vm, Site: benchEntries[vm], Life: 1, Sequence: o.sequence[vm],
 		Services: []catalog.ServiceID{"ledger"}, Observations: seen,
 		Wants: []wire.Want{{Service: "ledger", Instance: "a", Held: 3, Wanted: 15}},
 	}}})
 }
 
-func (o *office) fence(vm catalog.VMID) {
+func (o *bench) fence(vm catalog.VMID) {
 	o.feed(PeerReceived{From: vm, Message: wire.Message{Fenced: &wire.Fenced{VM: vm, Life: 1, Service: "ledger", Epoch: o.primary().Epoch}}})
 }
 
-func (o *office) primary() catalog.Primary {
+func (o *bench) primary() catalog.Primary {
 	return o.control.state.Primary("ledger")
 }
 
-// lead brings the office to where every entry holds a lease on primary a.
-func (o *office) lead() {
+// lead brings the bench to where every entry holds a lease on primary a.
+func (o *bench) lead() {
 	o.advance(time.Second)
 	o.announce()
 	o.advance(100 * ms)
--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -14,8 +14,8 @@
 	until       catalog.Instant
 }
 
-// loan is what one entry has and wants of one upstream's connections.
-type loan struct {
+// allocation is what one entry has and wants of one upstream's connections.
+type allocation struct {
 	site catalog.SiteID
 	// grants are those that may still be held, the newest first.
 	grants []grantView
@@ -24,7 +24,7 @@
 }
 
 // outstanding is the most that the entry may hold beyond its local share.
-func (l *loan) outstanding(now catalog.Instant) int {
+func (l *allocation) outstanding(now catalog.Instant) int {
 	most := 0
 	for _, g := range l.grants {
 		if now.Before(g.until) {
@@ -35,7 +35,7 @@
 }
 
 // give notes a grant and drops those that it makes needless.
-func (l *loan) give(g grantView, now catalog.Instant) {
+func (l *allocation) give(g grantView, now catalog.Instant) {
 	kept := []grantView{g}
 	for _, old := range l.grants {
 		if now.Before(old.until) && (old.connections > g.connections || old.until.After(g.until)) {
@@ -45,17 +45,17 @@
 	l.grants = kept
 }
 
-// loan returns an entry's loan of an upstream's connections, a new one if
+// allocation returns an entry's allocation at an upstream, a new one if
 // there is none yet.
-func (c *Control) loan(id catalog.InstanceID, vm catalog.VMID, site catalog.SiteID) *loan {
-	of := c.loans[id]
+func (c *Control) allocation(id catalog.InstanceID, vm catalog.VMID, site catalog.SiteID) *allocation {
+	of := c.allocations[id]
 	if of == nil {
-		of = map[catalog.VMID]*loan{}
-		c.loans[id] = of
+		of = map[catalog.VMID]*allocation{}
+		c.allocations[id] = of
 	}
 	l := of[vm]
 	if l == nil {
-		l = &loan{site: site}
+		l = &allocation{site: site}
 		of[vm] = l
 	}
 	return l
@@ -64,13 +64,13 @@
 // takeWants replaces what an entry wants by its newest report.
 func (c *Control) takeWants(vm catalog.VMID, v *entryView, list []wire.Want) {
 	for _, w := range v.wants {
-		if l := c.loans[w.Instance][vm]; l != nil {
+		if l := c.allocations[w.Instance][vm]; l != nil {
 			l.want = wire.Want{}
 		}
 	}
 	v.wants = list
 	for _, w := range list {
-		c.loan(w.Instance, vm, v.site).want = w
+		c.allocation(w.Instance, vm, v.site).want = w
 	}
 }
 
@@ -85,14 +85,14 @@
 			continue
 		}
 		n := c.share(vm, v, s, u, w)
-		c.loan(id, vm, v.site).give(grantView{connections: n, until: v.seenAt.Add(length)}, c.now)
+		c.allocation(id, vm, v.site).give(grantView{connections: n, until: v.seenAt.Add(length)}, c.now)
 		out = append(out, wire.Grant{Service: w.Service, Instance: id, Connections: n, Length: length})
 	}
 	return out
 }
 
 // share is the entry's part of an upstream's connections. The sum over all
-// entries of what may be held never passes what can be lent.
+// entries of what may be held never passes what can be granted.
 func (c *Control) share(vm catalog.VMID, v *entryView, s catalog.Service, u *upstreamView, w wire.Want) int {
 	local := 0
 	if v.site == u.said.Site {
@@ -105,18 +105,18 @@
 		return max(w.Held-local, 0)
 	}
 	wanted := max(w.Wanted-local, 0)
-	lendable := c.lendable(s, u)
+	grantable := c.grantable(s, u)
 	others, wants, starved := c.otherGrants(vm, id, u.said.Site, s)
-	most := lendable
+	most := grantable
 	if starved {
-		most = fairShare(lendable, append(wants, wanted))
+		most = fairShare(grantable, append(wants, wanted))
 	}
-	return max(min(wanted, most, lendable-others), 0)
+	return max(min(wanted, most, grantable-others), 0)
 }
 
-// lendable is how many connections of an upstream are not set aside for
+// grantable is how many connections of an upstream are not set aside for
 // control or for the entries of its own site.
-func (c *Control) lendable(s catalog.Service, u *upstreamView) int {
+func (c *Control) grantable(s catalog.Service, u *upstreamView) int {
 	near := c.entriesAt[u.said.Site]
 	return max(s.Limits.Connections-s.Limits.Reserved-near*s.Limits.LocalShare, 0)
 }
@@ -124,7 +124,7 @@
 // otherGrants sums what other entries may hold, lists what they want, and tells
 // whether one of them wants more than it has.
 func (c *Control) otherGrants(vm catalog.VMID, id catalog.InstanceID, site catalog.SiteID, s catalog.Service) (sum int, wants []int, starved bool) {
-	for name, l := range c.loans[id] {
+	for name, l := range c.allocations[id] {
 		if name == vm {
 			continue
 		}
@@ -146,15 +146,15 @@
 // fairShare is the most that one of several entries may have so that those who
 // want less have all they want, rounded up: an entry with a single connection
 // could not probe while a statement is stuck on it.
-func fairShare(lendable int, wants []int) int {
+func fairShare(grantable int, wants []int) int {
 	slices.Sort(wants)
 	for n, w := range wants {
 		left := len(wants) - n
-		share := max((lendable+left-1)/left, 1)
+		share := max((grantable+left-1)/left, 1)
 		if w > share {
 			return share
 		}
-		lendable = max(lendable-w, 0)
+		grantable = max(grantable-w, 0)
 	}
-	return lendable + wants[len(wants)-1]
+	return grantable + wants[len(wants)-1]
 }
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -121,7 +121,7 @@
 
 func (c *Control) upstreamStatus(u *upstreamView) UpstreamStatus {
 	granted := 0
-	for _, l := range c.loans[u.said.Instance] {
+	for _, l := range c.allocations[u.said.Instance] {
 		granted += l.outstanding(c.now)
 	}
 	return UpstreamStatus{
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -288,7 +288,7 @@
 	for _, seen := range c.evidence {
 		delete(seen, vm)
 	}
-	for _, of := range c.loans {
+	for _, of := range c.allocations {
 		delete(of, vm)
 	}
 }
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -10,7 +10,7 @@
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
-func count[T Effect](o *office) int {
+func count[T Effect](o *bench) int {
 	n := 0
 	for _, e := range o.all {
 		if _, ok := e.(T); ok {
@@ -21,7 +21,7 @@
 }
 
 // lastAnswer is the newest answer sent to an entry.
-func (o *office) lastAnswer(vm catalog.VMID) *wire.Answer {
+func (o *bench) lastAnswer(vm catalog.VMID) *wire.Answer {
 	for i := len(o.all) - 1; i >= 0; i-- {
 		if s, ok := o.all[i].(SendPeer); ok && s.To == vm && s.Message.Answer != nil {
 			return s.Message.Answer
@@ -33,7 +33,7 @@
 
 func TestFailoverAfterRefusals(t *testing.T) {
 	Convey("a primary that two sites find gone is replaced by the one furthest on", t, func() {
-		o := newOffice(t, catalog.AckPrimary)
+		o := newBench(t, catalog.AckPrimary)
 		o.lead()
 		delete(o.positions, "a")
 		o.report("e1", refused(0, 50*ms))
@@ -65,7 +65,7 @@
 }
 
 func TestFenceCheckIsSeenToFail(t *testing.T) {
-	o := newOffice(t, catalog.AckPrimary)
+	o := newBench(t, catalog.AckPrimary)
 	o.lead()
 	o.control.leaseHeld = func(_, _ catalog.Instant) bool { return false }
 	delete(o.positions, "a")
@@ -78,7 +78,7 @@
 
 func TestOneSiteIsNotBelieved(t *testing.T) {
 	Convey("while another site reaches the primary", t, func() {
-		o := newOffice(t, catalog.AckPrimary)
+		o := newBench(t, catalog.AckPrimary)
 		o.lead()
 		for range 30 {
 			o.advance(50 * ms)
@@ -90,11 +90,11 @@
 		So(count[Survey](o), ShouldEqual, 0)
 	})
 	Convey("a pause under 400 ms promotes nobody", t, func() {
-		o := newOffice(t, catalog.AckPrimary)
+		o := newBench(t, catalog.AckPrimary)
 		o.lead()
 		for age := 50 * ms; age < 400*ms; age += 50 * ms {
 			o.advance(50 * ms)
-			for vm := range officeEntries {
+			for vm := range benchEntries {
 				o.report(vm, silent(age))
 			}
 		}
@@ -104,7 +104,7 @@
 
 func TestReplicatedWritesSurviveThePrimary(t *testing.T) {
 	Convey("with one replica unheard, nobody is elected under replicated", t, func() {
-		o := newOffice(t, catalog.AckReplicated)
+		o := newBench(t, catalog.AckReplicated)
 		o.lead()
 		delete(o.positions, "a")
 		delete(o.positions, "b")
@@ -122,10 +122,10 @@
 
 func TestPlannedSwitch(t *testing.T) {
 	Convey("a planned change waits for the replica to catch up", t, func() {
-		o := newOffice(t, catalog.AckPrimary)
+		o := newBench(t, catalog.AckPrimary)
 		o.lead()
 		o.feed(OperatorAsked{Number: 7, Command: Command{Switch: &SwitchPrimary{Service: "ledger", Instance: "c"}}})
-		for vm := range officeEntries {
+		for vm := range benchEntries {
 			o.fence(vm)
 		}
 		o.advance(100 * ms)
@@ -136,7 +136,7 @@
 		So(count[OperatorAnswer](o), ShouldEqual, 1)
 	})
 	Convey("and is given up if it does not", t, func() {
-		o := newOffice(t, catalog.AckPrimary)
+		o := newBench(t, catalog.AckPrimary)
 		o.lead()
 		o.feed(OperatorAsked{Number: 7, Command: Command{Switch: &SwitchPrimary{Service: "ledger"}}})
 		o.advance(4 * time.Second)
@@ -148,8 +148,8 @@
 }
 
 func TestGrantsStayWithinTheLimit(t *testing.T) {
-	Convey("entries that all want everything share what can be lent", t, func() {
-		o := newOffice(t, catalog.AckPrimary)
+	Convey("entries that all want everything share what can be granted", t, func() {
+		o := newBench(t, catalog.AckPrimary)
 		o.lead()
 		o.advance(time.Second)
 		for range 20 {
@@ -158,7 +158,7 @@
 			for _, vm := range []catalog.VMID{"e1", "e2", "e3"} {
 				o.report(vm, alive(0))
 			}
-			for _, l := range o.control.loans["a"] {
+			for _, l := range o.control.allocations["a"] {
 				sum += l.outstanding(o.now)
 			}
 			So(sum, ShouldBeLessThanOrEqualTo, 18)
@@ -179,7 +179,7 @@
 }
 
 func TestChangesAreIdempotent(t *testing.T) {
-	o := newOffice(t, catalog.AckPrimary)
+	o := newBench(t, catalog.AckPrimary)
 	o.lead()
 	ask := func(number uint64, id catalog.ChangeID, version catalog.Version, service catalog.ServiceID) Reply {
 		s := ledger(catalog.AckPrimary)
--- a/node/system_settings_test.go
+++ b/node/system_settings_test.go
@@ -263,7 +263,7 @@
 	}
 }
 
-// TestSystemCommandsAnswered has the leader lose its office while a long
+// TestSystemCommandsAnswered has the leader lose its leadership while a long
 // command waits; each command has exactly one answer.
 func TestSystemCommandsAnswered(t *testing.T) {
 	ask := func(c node.Command, before func(*world, *process)) func(uint64) *world {
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -69,8 +69,8 @@
 	g.count(g.own.VM)
 }
 
-// stand asks for votes in a new ballot, released if the leader before gave up
-// its office. The requests wait for the own vote.
+// stand asks for votes in a new ballot, released if the leader before resigned.
+// The requests wait for the own vote.
 func (g *Group) stand(released bool) {
 	g.role, g.leader, g.votes = roleCandidate, "", map[catalog.VMID]bool{}
 	g.setVote(Vote{Ballot: g.vote.Ballot + 1, For: g.own.VM})
--- a/quorum/handover.go
+++ b/quorum/handover.go
@@ -2,7 +2,7 @@
 
 import "github.com/kingcupknot/kingcupknot/catalog"
 
-// Handover has a leader give up its office to the voter that is furthest on,
+// Handover has a leader resign to the voter that is furthest on,
 // for a planned stop. The leader follows from then on, so that nobody rests on
 // its contact any more; if the voter is not elected, the others elect as usual.
 func (g *Group) Handover(now catalog.Instant) Output {
--- a/quorum/handover_test.go
+++ b/quorum/handover_test.go
@@ -16,7 +16,7 @@
 	// Nobody rests on the contact of a leader that gave up.
 	s.hosts[before].until = s.now
 	if old.Leading() || old.QuorumContact() != 0 {
-		t.Fatal("the leader leads on after it gave up its office")
+		t.Fatal("the leader leads on after it resigned")
 	}
 	s.run(100*time.Millisecond, func() {})
 	after := s.leader()
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -37,7 +37,7 @@
 	KindAppendReply
 	// KindSnapshot brings a whole snapshot to a member that is far behind.
 	KindSnapshot
-	// KindHandover tells a voter that its leader gave up its office and that it
+	// KindHandover tells a voter that its leader resigned and that it
 	// shall stand at once.
 	KindHandover
 	kindEnd
@@ -61,7 +61,7 @@
 	// nobody else reads it.
 	Stamp catalog.Instant `cbor:"9,keyasint,omitempty"`
 	// OK is set in a reply that grants or acknowledges, and in KindVote if the
-	// leader of the ballot before gave up its office.
+	// leader of the ballot before resigned.
 	OK bool `cbor:"10,keyasint,omitempty"`
 	// Hint and HintBallot name the last record that may agree, in a refusal.
 	Hint       Index     `cbor:"11,keyasint,omitempty"`
