--- a/workload/report.go
+++ b/workload/report.go
@@ -66,6 +66,9 @@
 func (r Result) Report(w io.Writer, short bool) error {
 	if !short {
 		r.table(w)
+		for _, text := range history.Explain(r.Operations) {
+			fmt.Fprintln(w, text)
+		}
 	}
 	return errors.Trace(json.NewEncoder(w).Encode(r.Summary()))
 }
