--- a/node/control.go
+++ b/node/control.go
@@ -58,10 +58,10 @@
 	subscribers serviceVMs
 	holders     serviceVMs
 	// allocations says who has and wants how many of an upstream's connections.
-	allocations     map[catalog.InstanceID]map[catalog.VMID]*allocation
-	failovers map[catalog.ServiceID]*failover
-	proposals map[quorum.Index]proposal
-	joins     map[catalog.VMID]catalog.Incarnation
+	allocations map[catalog.InstanceID]map[catalog.VMID]*allocation
+	failovers   map[catalog.ServiceID]*failover
+	proposals   map[quorum.Index]proposal
+	joins       map[catalog.VMID]catalog.Incarnation
 	// evidence is what each entry saw of each upstream.
 	evidence map[catalog.InstanceID]map[catalog.VMID]observation
 	// suspects are looked at in every sweep until the instant given.
