--- a/settings/limits.go
+++ b/settings/limits.go
@@ -8,6 +8,9 @@
 	MaxCallers int
 	// Queue is how many requests may wait for a service.
 	Queue int
+	// Observers is how many entries of a site watch a service that none of
+	// their callers use; 0 stands for all.
+	Observers int
 }
 
 const (
@@ -22,5 +25,6 @@
 	t.integer("max-message", leastMaxMessage, &s.Limits.MaxMessage)
 	t.integer("max-callers", 1, &s.Limits.MaxCallers)
 	t.integer("queue", 1, &s.Limits.Queue)
+	t.integer("observers", 0, &s.Limits.Observers)
 	t.finish()
 }
