node: one piece for what stood twice, drop a ballot nobody read

Reads and writes share the wait for a turn, a failover's survey and the warming of connections share the question to an upstream, and two proofs share their storm of faults. A proposal kept its ballot, which nothing read, and was kept for changes that no operator waits for.

--- a/node/control.go
+++ b/node/control.go
@@ -60,8 +60,9 @@
 	// allocations says who has and wants how many of an upstream's connections.
 	allocations map[catalog.InstanceID]map[catalog.VMID]*allocation
 	failovers   map[catalog.ServiceID]*failover
-	proposals   map[quorum.Index]proposal
-	joins       map[catalog.VMID]catalog.Incarnation
+	// proposals are the operators' commands that wait for a record.
+	proposals map[quorum.Index]uint64
+	joins     map[catalog.VMID]catalog.Incarnation
 	// evidence is what each entry saw of each upstream.
 	evidence map[catalog.InstanceID]map[catalog.VMID]observation
 	// suspects are looked at in every sweep until the instant given.
@@ -82,13 +83,6 @@
 	enough func(catalog.Service, *failover, catalog.InstanceID) bool
 }
 
-// proposal is what waits for a record to be applied.
-type proposal struct {
-	ballot quorum.Ballot
-	// number is the operator's command, zero if none waits.
-	number uint64
-}
-
 // NewControl returns the reducer of a control VM that starts at now.
 func NewControl(o ControlOptions, now catalog.Instant) (*Control, error) {
 	state, err := registry.Restore(o.Saved.Snapshot.Data)
@@ -120,7 +114,7 @@
 	c.subscribers, c.holders = serviceVMs{}, serviceVMs{}
 	c.allocations = map[catalog.InstanceID]map[catalog.VMID]*allocation{}
 	c.failovers = map[catalog.ServiceID]*failover{}
-	c.proposals = map[quorum.Index]proposal{}
+	c.proposals = map[quorum.Index]uint64{}
 	c.evidence = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspects = map[catalog.ServiceID]catalog.Instant{}
 	c.watchAllAt, c.warmAt = 0, 0
@@ -240,8 +234,8 @@
 // waitingCommands lists the operators' commands that have no answer yet.
 func (c *Control) waitingCommands() []uint64 {
 	var numbers []uint64
-	for _, p := range c.proposals {
-		numbers = append(numbers, p.number)
+	for _, n := range c.proposals {
+		numbers = append(numbers, n)
 	}
 	for _, f := range c.failovers {
 		numbers = append(numbers, f.number)
--- a/node/control_quorum.go
+++ b/node/control_quorum.go
@@ -61,7 +61,9 @@
 		return false
 	}
 	// A lone member commits at once, so the proposal must be known first.
-	c.proposals[index] = proposal{ballot: c.quorum.Ballot(), number: number}
+	if number != 0 {
+		c.proposals[index] = number
+	}
 	c.drive(out)
 	return true
 }
@@ -80,11 +82,9 @@
 	}
 	before := c.state.Version
 	result := c.state.Apply(change)
-	if p, ok := c.proposals[r.Index]; ok {
+	if n, ok := c.proposals[r.Index]; ok {
 		delete(c.proposals, r.Index)
-		if p.number != 0 {
-			c.emit(OperatorAnswer{Number: p.number, Reply: replyTo(result)})
-		}
+		c.emit(OperatorAnswer{Number: n, Reply: replyTo(result)})
 	}
 	if !c.leading {
 		return
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -29,12 +29,7 @@
 	f.surveyEnds = c.now.Add(surveyTime)
 	f.surveyAt = c.now.Add(surveyAgain)
 	for _, u := range c.instancesOf(s.ID) {
-		c.surveys++
-		f.surveys[c.surveys] = u.said.Instance
-		c.emit(Survey{
-			Survey: c.surveys, Service: s.ID, Instance: u.said.Instance,
-			Address: u.said.Address, Deadline: f.surveyEnds,
-		})
+		f.surveys[c.askUpstream(u, f.surveyEnds)] = u.said.Instance
 	}
 }
 
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -207,11 +207,18 @@
 }
 
 func (c *Control) warmUp(u *upstreamView) {
+	c.askUpstream(u, c.now.Add(c.options.Timings.Suspect))
+}
+
+// askUpstream asks an upstream for role and position, and returns the number of
+// the question.
+func (c *Control) askUpstream(u *upstreamView, deadline catalog.Instant) uint64 {
 	c.surveys++
 	c.emit(Survey{
 		Survey: c.surveys, Service: u.said.Service, Instance: u.said.Instance,
-		Address: u.said.Address, Deadline: c.now.Add(c.options.Timings.Suspect),
+		Address: u.said.Address, Deadline: deadline,
 	})
+	return c.surveys
 }
 
 // followPrimaries tells upstreams of an older term to follow the primary.
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -176,12 +176,7 @@
 
 // awaitReplica lets a read wait for a place at a replica that satisfies it.
 func (e *Entry) awaitReplica(s *entryService, r *entryRequest, p *placement) bool {
-	if e.hopeless(r, p.replica) {
-		e.refuse(r, "the queue is too long for the deadline", s.waitFor(p.replica))
-		return true
-	}
-	p.replica++
-	return false
+	return e.awaitTurn(s, r, &p.replica)
 }
 
 // awaitProof lets a read wait for the next probes or for the primary. Without
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -23,15 +23,24 @@
 
 // awaitSlot lets a request wait for the primary's slots if it can make it.
 func (e *Entry) awaitSlot(s *entryService, r *entryRequest, p *placement) bool {
-	if e.hopeless(r, p.primary) {
-		e.refuse(r, "the queue is too long for the deadline", s.waitFor(p.primary))
+	if e.awaitTurn(s, r, &p.primary) {
 		return true
 	}
-	p.primary++
 	p.booking = p.booking || r.Class == ClassBooking
 	return false
 }
 
+// awaitTurn lets a request wait behind those ahead of it, or refuses it at once
+// if it can't make its deadline there. It reports whether it was refused.
+func (e *Entry) awaitTurn(s *entryService, r *entryRequest, ahead *int) bool {
+	if e.hopeless(r, *ahead) {
+		e.refuse(r, "the queue is too long for the deadline", s.waitFor(*ahead))
+		return true
+	}
+	*ahead++
+	return false
+}
+
 // awaitPrimary lets a request wait for a primary with a lease while there is
 // hope for one before its deadline, and refuses it as soon as there is none.
 func (e *Entry) awaitPrimary(s *entryService, r *entryRequest, p *placement) bool {
--- a/node/system_proof_test.go
+++ b/node/system_proof_test.go
@@ -218,6 +218,15 @@
 	w.answer = func(*process, node.AnswerRequest) {}
 	w.run(2 * time.Second)
 	c := newCallers(w)
+	c.storm()
+	c.check()
+	delete(operations, w)
+	return w, c
+}
+
+// storm causes faults while the callers go on, and then lets all calm down.
+func (c *callers) storm() {
+	w := c.w
 	w.loss = 0.01
 	for w.now < c.until {
 		w.run(time.Duration(300+w.rng.IntN(1500)) * ms)
@@ -225,9 +234,6 @@
 	}
 	w.loss = 0
 	w.run(calmTime)
-	c.check()
-	delete(operations, w)
-	return w, c
 }
 
 func proveSeeds(t *testing.T, ack catalog.AckMode) {
--- a/node/system_transaction_test.go
+++ b/node/system_transaction_test.go
@@ -183,13 +183,7 @@
 	w.run(2 * time.Second)
 	c := newCallers(w)
 	d := newDealers(c, 4)
-	w.loss = 0.01
-	for w.now < c.until {
-		w.run(time.Duration(300+w.rng.IntN(1500)) * ms)
-		w.disturb()
-	}
-	w.loss = 0
-	w.run(calmTime)
+	c.storm()
 	c.check()
 	d.check()
 	delete(operations, w)
