--- a/daemon/control.go
+++ b/daemon/control.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
-	"github.com/kingcupknot/kingcupknot/journal"
+	"github.com/kingcupknot/kingcupknot/wal"
 	"github.com/kingcupknot/kingcupknot/node"
 	"github.com/kingcupknot/kingcupknot/quorum"
 	"github.com/kingcupknot/kingcupknot/settings"
@@ -20,7 +20,7 @@
 
 // runControl runs a control VM.
 func (s *shared) runControl(ctx context.Context, drain <-chan struct{}) error {
-	store, saved, err := s.openJournal()
+	store, saved, err := s.openLog()
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -93,13 +93,13 @@
 	}
 }
 
-// openJournal opens the data folder. An empty one starts a member of a new
+// openLog opens the data folder. An empty one starts a member of a new
 // system if that was asked for, and else a new incarnation without a vote.
-func (s *shared) openJournal() (*journal.Journal, quorum.Saved, error) {
+func (s *shared) openLog() (*wal.Log, quorum.Saved, error) {
 	if s.options.Data == "" {
 		return nil, quorum.Saved{}, errors.New("a control VM needs a data folder; give --data")
 	}
-	store, err := journal.Open(s.options.Data)
+	store, err := wal.Open(s.options.Data)
 	if err != nil {
 		return nil, quorum.Saved{}, errors.Trace(err)
 	}
@@ -117,7 +117,7 @@
 	return store, saved, nil
 }
 
-func (s *shared) initialise(store *journal.Journal) error {
+func (s *shared) initialise(store *wal.Log) error {
 	if !s.options.Bootstrap {
 		self := quorum.Member{VM: s.options.VM.Name, Incarnation: catalog.Incarnation(random()>>1) + firstIncarnation + 1}
 		telemetry.Write(s.log, false, "daemon", "Starts as a new incarnation without a vote.", nil)
--- a/journal/load.go
+++ b/wal/load.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"github.com/juju/errors"
@@ -9,7 +9,7 @@
 
 // Load reads all that the folder holds. It returns false for a fresh folder,
 // which needs Init.
-func (j *Journal) Load() (quorum.Saved, bool, error) {
+func (j *Log) Load() (quorum.Saved, bool, error) {
 	var s quorum.Saved
 	var found bool
 	at := &place{}
--- a/journal/pages.go
+++ b/wal/pages.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"encoding/binary"
@@ -24,7 +24,7 @@
 	maxPageDepth  = 64
 )
 
-// pages is a journal's file while it is looked at.
+// pages is the log's file while it is looked at.
 type pages struct {
 	data []byte
 	size uint64
--- a/journal/seal.go
+++ b/wal/seal.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"encoding/binary"
@@ -72,11 +72,11 @@
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if r := recover(); r != nil {
-			err = errors.Annotatef(ErrDamaged, "journal %s, %s: %v", path, p, r)
+			err = errors.Annotatef(ErrDamaged, "write-ahead log %s, %s: %v", path, p, r)
 		}
 	}()
 	if err := f(); err != nil {
-		return errors.Annotatef(err, "journal %s, %s", path, p)
+		return errors.Annotatef(err, "write-ahead log %s, %s", path, p)
 	}
 	return nil
 }
--- a/journal/store.go
+++ b/wal/store.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"encoding/binary"
--- a/journal/journal.go
+++ b/wal/wal.go
@@ -1,6 +1,6 @@
-// Package journal keeps a control VM's part of the agreement in its data
+// Package wal keeps a control VM's part of the agreement in its data
 // folder, each write in one synced transaction.
-package journal
+package wal
 
 import (
 	"os"
@@ -14,7 +14,7 @@
 )
 
 const (
-	fileName    = "journal.db"
+	fileName    = "wal.db"
 	folderMode  = 0o700
 	fileMode    = 0o600
 	lockTimeout = time.Second
@@ -24,27 +24,27 @@
 	freshID = 1
 )
 
-// ErrInitialised says that the folder already holds a member's journal.
-const ErrInitialised = errors.ConstError("journal is initialised already")
+// ErrInitialised says that the folder already holds a member's log.
+const ErrInitialised = errors.ConstError("log is initialised already")
 
 // ErrNotInitialised says that Init must come before Store.
-const ErrNotInitialised = errors.ConstError("journal is not initialised")
+const ErrNotInitialised = errors.ConstError("log is not initialised")
 
 // ErrDamaged says that what the file holds is not what was stored.
-const ErrDamaged = errors.ConstError("journal is damaged")
+const ErrDamaged = errors.ConstError("log is damaged")
 
-// Journal is an open data folder. Only one process can hold it.
-type Journal struct {
+// Log is an open data folder. Only one process can hold it.
+type Log struct {
 	db   *bbolt.DB
 	path string
 }
 
-// Open opens the journal of a data folder and creates both if need be.
-func Open(folder string) (*Journal, error) {
+// Open opens the log of a data folder and creates both if need be.
+func Open(folder string) (*Log, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Trace(err)
 	}
-	j := &Journal{path: filepath.Join(folder, fileName)}
+	j := &Log{path: filepath.Join(folder, fileName)}
 	if err := guard(j.path, &place{}, j.open); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -55,7 +55,7 @@
 	return j, nil
 }
 
-func (j *Journal) open() error {
+func (j *Log) open() error {
 	if err := checkHeads(j.path); err != nil {
 		return errors.Trace(err)
 	}
@@ -83,7 +83,7 @@
 // Init makes a fresh folder the start of a member. The members are those the
 // group begins with; a VM that joins a running group names none, and gets them
 // from the leader.
-func (j *Journal) Init(self quorum.Member, members []quorum.Member) error {
+func (j *Log) Init(self quorum.Member, members []quorum.Member) error {
 	return j.update(func(t *target) error {
 		if t.meta.Get(keySelf) != nil {
 			return errors.Trace(ErrInitialised)
@@ -105,13 +105,13 @@
 }
 
 // Store writes and syncs one write.
-func (j *Journal) Store(w quorum.Write) error {
+func (j *Log) Store(w quorum.Write) error {
 	return j.StoreAll([]quorum.Write{w})
 }
 
 // StoreAll writes and syncs several writes, in their order, at once: after a
 // crash either all or none of them are there.
-func (j *Journal) StoreAll(writes []quorum.Write) error {
+func (j *Log) StoreAll(writes []quorum.Write) error {
 	if len(writes) == 0 {
 		return nil
 	}
@@ -132,7 +132,7 @@
 }
 
 // update runs f in one transaction, which is synced before update returns.
-func (j *Journal) update(f func(*target) error) error {
+func (j *Log) update(f func(*target) error) error {
 	t := &target{}
 	return guard(j.path, &t.place, func() error {
 		return j.db.Update(func(tx *bbolt.Tx) error {
@@ -145,6 +145,6 @@
 }
 
 // Close lets the folder go.
-func (j *Journal) Close() error {
-	return errors.Annotatef(j.db.Close(), "journal %s", j.path)
+func (j *Log) Close() error {
+	return errors.Annotatef(j.db.Close(), "write-ahead log %s", j.path)
 }
--- a/journal/journal_test.go
+++ b/wal/wal_test.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 	}
 }
 
-func open(t *testing.T, folder string) *Journal {
+func open(t *testing.T, folder string) *Log {
 	t.Helper()
 	j, err := Open(folder)
 	must(t, err)
@@ -35,7 +35,7 @@
 	return quorum.Record{Index: i, Ballot: b, Data: []byte(data)}
 }
 
-// filled returns a folder with a closed journal, and what it holds.
+// filled returns a folder with a closed log, and what it holds.
 func filled(t *testing.T) (string, quorum.Saved) {
 	t.Helper()
 	folder := filepath.Join(t.TempDir(), "data")
