--- a/catalog/position.go
+++ b/catalog/position.go
@@ -52,6 +52,17 @@
 	return have.Offset >= offset
 }
 
+// Clip cuts a position back to what survives of its history, so that an
+// upstream of the newest term can be asked whether it holds that.
+func (f Forks) Clip(p Position) Position {
+	for _, k := range f {
+		if k.Term > p.Term && k.At < p.Offset {
+			p.Offset = k.At
+		}
+	}
+	return p
+}
+
 // With returns the list with one more fork, or unchanged if its term is known.
 func (f Forks) With(k Fork) Forks {
 	for i, have := range f {
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -35,6 +35,9 @@
 	// Instances is how many instances the group has when it is whole; a
 	// majority is counted against it.
 	Instances int `cbor:"4,keyasint" json:"instances"`
+	// SyncReplicas is how many replicas hold a write before the primary itself
+	// acknowledges it.
+	SyncReplicas int `cbor:"5,keyasint,omitempty" json:"sync-replicas,omitempty"`
 }
 
 // Primary is what control decided about the primary of a service.
@@ -69,6 +72,9 @@
 	// within a life; together they order what is heard over several ways.
 	Life     uint64 `cbor:"8,keyasint" json:"life"`
 	Sequence uint64 `cbor:"9,keyasint" json:"sequence"`
+	// Slots is how many statements the upstream runs side by side, zero if it
+	// does not say.
+	Slots int `cbor:"10,keyasint,omitempty" json:"slots,omitempty"`
 }
 
 // Newer reports whether a was made after b by the same upstream.
@@ -105,6 +111,8 @@
 	Election time.Duration
 	// Drain bounds a planned stop.
 	Drain time.Duration
+	// Grant is the length of a connection grant; zero takes that of a lease.
+	Grant time.Duration
 }
 
 // DefaultTimings fits sites a few milliseconds apart.
--- a/cmd/kingcupknotd/main.go
+++ b/cmd/kingcupknotd/main.go
@@ -16,7 +16,8 @@
 type options struct {
 	Config    string `long:"config" value-name:"FILE" description:"base settings; the embedded ones if left out"`
 	Overlay   string `long:"overlay" value-name:"FILE" description:"settings of the VM's site"`
-	VM        string `long:"vm" value-name:"NAME" required:"yes" description:"the VM of the settings that this process is"`
+	VM        string `long:"vm" value-name:"NAME" description:"the VM of the settings that this process is"`
+	Platform  string `long:"platform" value-name:"FILE" description:"settings file of the users' platform, in place of the settings above"`
 	Data      string `long:"data" value-name:"FOLDER" description:"data folder, for the control role"`
 	Bootstrap bool   `long:"bootstrap" description:"let an empty data folder start a new system; for the very first start only"`
 }
@@ -27,6 +28,13 @@
 }
 
 func run(o options) error {
+	if o.Platform != "" {
+		ctx, drain := watchSignals()
+		return errors.Trace(daemon.RunHosted(ctx, o.Platform, drain))
+	}
+	if o.VM == "" {
+		return errors.New("give --vm, the VM that this process is, or --platform")
+	}
 	s, err := load(o)
 	if err != nil {
 		return errors.Annotate(err, "settings")
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -123,14 +123,16 @@
 
 // asker pairs operators' commands with the reducer's answers.
 type asker struct {
-	feed  func(node.Input)
-	mutex sync.Mutex
-	last  uint64
-	open  map[uint64]chan node.Reply
+	feed func(node.Input)
+	// timeout bounds the wait for an answer.
+	timeout time.Duration
+	mutex   sync.Mutex
+	last    uint64
+	open    map[uint64]chan node.Reply
 }
 
 func newAsker(feed func(node.Input)) *asker {
-	return &asker{feed: feed, open: map[uint64]chan node.Reply{}}
+	return &asker{feed: feed, timeout: commandTime, open: map[uint64]chan node.Reply{}}
 }
 
 // ask waits for the answer to a command, within bounds.
@@ -145,7 +147,7 @@
 	select {
 	case r := <-answer:
 		return r
-	case <-time.After(commandTime):
+	case <-time.After(a.timeout):
 		a.take(number)
 		return node.Reply{Code: node.ReplyUnknown, Text: "No agreement was reached in time. Send the change again with the same change id.", RetryAfter: time.Second}
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -8,11 +8,11 @@
 	"github.com/juju/errors"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
-	"github.com/kingcupknot/kingcupknot/wal"
 	"github.com/kingcupknot/kingcupknot/node"
 	"github.com/kingcupknot/kingcupknot/quorum"
 	"github.com/kingcupknot/kingcupknot/settings"
 	"github.com/kingcupknot/kingcupknot/telemetry"
+	"github.com/kingcupknot/kingcupknot/wal"
 )
 
 // firstIncarnation is that of the members a system starts with.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -111,7 +111,8 @@
 		peers[v.Name] = v.PeerAddress
 	}
 	s.hub = link.NewHub(link.Options{
-		VM: s.options.VM.Name, Key: s.options.Settings.Security.SharedKey, Peers: peers,
+		VM: s.options.VM.Name, Key: s.options.Settings.Security.SharedKey,
+		Address: func(vm catalog.VMID) string { return peers[vm] },
 		Receive: func(from catalog.VMID, m wire.Message) {
 			s.loop.Feed(node.PeerReceived{From: from, Message: m})
 		},
--- /dev/null
+++ b/daemon/hosted_entry.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/platform"
+	"github.com/kingcupknot/kingcupknot/session"
+)
+
+// filesReserved are the descriptors that are not for callers: upstream
+// connections, the system's own and the platform's.
+const filesReserved = 700
+
+// runEntry runs an entry.
+func (h *hosted) runEntry(ctx context.Context, drain <-chan struct{}) error {
+	entry := node.NewEntry(node.EntryOptions{
+		VM: h.settings.VM, Site: h.settings.Site, Life: uint64(h.clock.Now()), Seed: random(),
+		Timings: hostedTimings(h.settings), Control: h.settings.Seeds, ListsUpstreams: true,
+	})
+	h.loop = NewLoop(h.clock, entry.Step)
+	pool := session.NewPool(h.poolOptions())
+	callers := session.NewServer(session.Options{
+		Feed: h.loop.Feed, Now: h.clock.Now, Pool: pool, Decided: h.decided,
+		MaxCallers: max(h.settings.MaxFiles-filesReserved, filesReserved), Grace: h.settings.StopTime,
+	})
+	if err := h.connect(); err != nil {
+		return errors.Trace(err)
+	}
+	var ready atomic.Bool
+	if err := h.listen(h.settings.ReadyAddress, platform.Readiness(ready.Load)); err != nil {
+		return errors.Trace(err)
+	}
+	listener, err := h.accept(ctx, h.settings.CallerAddress, func(c net.Conn) { callers.Serve(platform.NewLink(c)) })
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go h.loop.Run(ctx, func(e node.Effect) {
+		switch v := e.(type) {
+		case node.OpenConn:
+			pool.Open(v)
+		case node.CloseConn:
+			pool.Close(v)
+		case node.Probe:
+			pool.Probe(v)
+		case node.RunRequest:
+			callers.Deliver(v.Request, v)
+		case node.AnswerRequest:
+			callers.Deliver(v.Request, v)
+		case node.RoutesChanged:
+			callers.SetRoutes(v)
+			h.log.Info("A configuration is in force.", "part", "entry", "version", uint64(v.Version), "routes", len(v.Routes))
+		case node.ReadinessChanged:
+			ready.Store(v.Ready)
+			h.log.Info("The readiness changed.", "part", "entry", "ready", v.Ready, "cause", v.Reason)
+		default:
+			h.runCommon(e)
+		}
+	})
+	h.loop.Feed(node.TimerFired{})
+	h.log.Info("The process runs as entry.", "part", "daemon", "seeds", h.settings.Seeds)
+	return h.wait(ctx, drain, func() {
+		ready.Store(false)
+		callers.Drain()
+	}, func() {
+		_ = listener.Close()
+		h.letLeave(ctx, callers.Idle)
+	})
+}
+
+// letLeave gives the last answers time to reach their callers.
+func (h *hosted) letLeave(ctx context.Context, idle func() bool) {
+	ctx, cancel := context.WithTimeout(ctx, stopReserve/2)
+	defer cancel()
+	ticker := time.NewTicker(leaveEvery)
+	defer ticker.Stop()
+	for !idle() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *hosted) poolOptions() session.PoolOptions {
+	return session.PoolOptions{
+		Feed: func(in node.Input) { h.loop.Feed(in) }, Now: h.clock.Now,
+		Dial: platform.Dial, Status: platform.ReadStatus, Dialect: platform.Dialect(), Log: h.log,
+	}
+}
+
+// decided writes the decision on a request to the log.
+func (h *hosted) decided(d session.Decision) {
+	h.metrics.Observe("request", d.Took)
+	h.log.Info("A request was decided.", "part", "request", "request", d.Request, "database", d.Database,
+		"service", string(d.Service), "statement", d.Verb.String(), "verdict", d.Verdict, "cause", d.Reason,
+		"instance", string(d.Instance), "tries", d.Tries, "floor", d.Floor, "version", uint64(d.Version),
+		"took-us", d.Took.Microseconds(), "waited-us", d.Waited.Microseconds())
+}
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/node"
 )
@@ -13,25 +15,37 @@
 // inputQueue is how many inputs wait for the reducer before feeders block.
 const inputQueue = 8192
 
-// Clock turns the process's monotonic clock into instants.
+// Clock gives the VM's boot-time clock as instants. It goes on while the VM is
+// suspended, so that a lease does not outlive a suspension.
 type Clock struct {
-	start time.Time
+	read func() time.Duration
 }
 
-// NewClock returns a clock that starts at one second, so that the zero instant
-// is always in the past.
+// NewClock returns the clock of this VM.
 func NewClock() Clock {
-	return Clock{start: time.Now().Add(-time.Second)}
+	return Clock{read: bootTime}
+}
+
+// clockStart keeps the zero instant in the past on a VM that has just booted.
+const clockStart = time.Second
+
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Without the clock no lease can be trusted.
+		panic(err)
+	}
+	return time.Duration(t.Nano())
 }
 
 // Now is the present instant.
 func (c Clock) Now() catalog.Instant {
-	return catalog.Instant(time.Since(c.start))
+	return catalog.Instant(c.read() + clockStart)
 }
 
 // Time turns an instant into a time of day, for traces.
 func (c Clock) Time(i catalog.Instant) time.Time {
-	return c.start.Add(time.Duration(i))
+	return time.Now().Add(i.Sub(c.Now()))
 }
 
 // Loop owns a reducer. Only its goroutine calls step and run.
--- a/link/accept.go
+++ b/link/accept.go
@@ -22,8 +22,9 @@
 type Options struct {
 	VM  catalog.VMID
 	Key []byte
-	// Peers gives the IP and port of every VM.
-	Peers map[catalog.VMID]string
+	// Address gives the IP and port of a VM, empty for one that is none of the
+	// system.
+	Address func(catalog.VMID) string
 	// Receive takes a message from a proved peer.
 	Receive func(from catalog.VMID, m wire.Message)
 	// Refused is told of bad frames and failed greetings.
@@ -71,7 +72,7 @@
 		return "", errors.Errorf("it speaks protocol %d, this VM %d", m.Protocol, wire.Protocol)
 	case m.To != h.options.VM:
 		return "", errors.Errorf("it looks for %s, this VM is %s", m.To, h.options.VM)
-	case h.options.Peers[m.VM] == "":
+	case h.options.Address(m.VM) == "":
 		return "", errors.Errorf("%q is no VM of the settings", m.VM)
 	case len(m.Nonce) != challengeSize:
 		return "", errors.New("its challenge has the wrong length")
--- a/link/dial.go
+++ b/link/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/socket"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -22,6 +24,9 @@
 	writeTime   = time.Second
 	redialFirst = 20 * time.Millisecond
 	redialMost  = 500 * time.Millisecond
+	// pingEvery and pingTime bound how long a silent connection goes unseen.
+	pingEvery = time.Second
+	pingTime  = time.Second
 )
 
 // Hub holds one outgoing connection to each peer that was ever written to.
@@ -33,12 +38,16 @@
 	// queues holds what waits for each peer. Invariant: one sender goroutine
 	// for each.
 	queues map[catalog.VMID]chan []byte
+	client *http.Client
 }
 
 // NewHub returns a hub that sends until Close.
 func NewHub(o Options) *Hub {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Hub{options: o, context: ctx, stop: stop, queues: map[catalog.VMID]chan []byte{}}
+	return &Hub{
+		options: o, context: ctx, stop: stop, queues: map[catalog.VMID]chan []byte{},
+		client: &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(dialTime).DialContext}},
+	}
 }
 
 // Close ends all connections.
@@ -56,7 +65,7 @@
 	}
 	h.mutex.Lock()
 	q := h.queues[to]
-	if q == nil && h.options.Peers[to] != "" {
+	if q == nil && h.options.Address(to) != "" {
 		q = make(chan []byte, queueLength)
 		h.queues[to] = q
 		go h.keep(to, q)
@@ -106,7 +115,7 @@
 func (h *Hub) dial(to catalog.VMID) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(h.context, dialTime)
 	defer cancel()
-	s, _, err := websocket.Dial(ctx, "ws://"+h.options.Peers[to]+Path, nil)
+	s, _, err := websocket.Dial(ctx, "ws://"+h.options.Address(to)+Path, &websocket.DialOptions{HTTPClient: h.client})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -145,10 +154,16 @@
 // greeting, so a read that ends means that it is gone.
 func (h *Hub) pump(s *websocket.Conn, q chan []byte) {
 	gone := s.CloseRead(h.context)
+	ticker := time.NewTicker(pingEvery)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-gone.Done():
 			return
+		case <-ticker.C:
+			if !h.ping(s) {
+				return
+			}
 		case data := <-q:
 			if !h.write(s, data) {
 				return
@@ -157,6 +172,14 @@
 	}
 }
 
+// ping shows whether the connection still carries anything; one may go silent
+// without being reset.
+func (h *Hub) ping(s *websocket.Conn) bool {
+	ctx, cancel := context.WithTimeout(h.context, pingTime)
+	defer cancel()
+	return s.Ping(ctx) == nil
+}
+
 func (h *Hub) write(s *websocket.Conn, data []byte) bool {
 	ctx, cancel := context.WithTimeout(h.context, writeTime)
 	defer cancel()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	got, refused := make(chan wire.Message, 16), make(chan error, 16)
 	h := NewHub(Options{
-		VM: vm, Key: []byte(key), Peers: peers,
+		VM: vm, Key: []byte(key), Address: func(id catalog.VMID) string { return peers[id] },
 		Receive: func(_ catalog.VMID, m wire.Message) { got <- m },
 		Refused: func(err error) {
 			select {
--- a/node/command.go
+++ b/node/command.go
@@ -20,6 +20,9 @@
 	Drain    *DrainUpstream `json:"drain,omitempty"`
 	Switch   *SwitchPrimary `json:"switch,omitempty"`
 	Replace  *ReplaceMember `json:"replace,omitempty"`
+	Adopt    *AdoptSettings `json:"adopt,omitempty"`
+	Announce *Announce      `json:"announce,omitempty"`
+	Retire   *RetireLife    `json:"retire,omitempty"`
 	Status   *StatusQuery   `json:"status,omitempty"`
 	History  *HistoryQuery  `json:"history,omitempty"`
 	Settings *SettingsQuery `json:"settings,omitempty"`
@@ -30,6 +33,26 @@
 	Services []catalog.Service `json:"services"`
 }
 
+// AdoptSettings replaces the whole configuration if its version is higher than
+// that in force. One that is not is accepted and changes nothing, so that a
+// resend never fails.
+type AdoptSettings struct {
+	Configuration catalog.Configuration `json:"configuration"`
+}
+
+// Announce brings an upstream's word of itself to the leader. One that says it
+// is leaving is answered once that is agreed on.
+type Announce struct {
+	Announcement catalog.Announcement `json:"announcement"`
+}
+
+// RetireLife keeps new work from an upstream that is gone. Life is zero for
+// the newest one known.
+type RetireLife struct {
+	Instance catalog.InstanceID `json:"instance"`
+	Life     uint64             `json:"life,omitempty"`
+}
+
 // CreateService adds a service.
 type CreateService struct {
 	Service catalog.Service `json:"service"`
@@ -99,6 +122,9 @@
 	Status   *Status           `json:"status,omitempty"`
 	History  []Change          `json:"history,omitempty"`
 	Services []catalog.Service `json:"services,omitempty"`
+	// Document is the configuration as the operator wrote it, for a
+	// SettingsQuery.
+	Document []byte `json:"document,omitempty"`
 	// RetryAfter is the hint when to come back.
 	RetryAfter time.Duration `json:"retry-after,omitempty"`
 }
--- a/node/control.go
+++ b/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/quorum"
@@ -16,8 +17,18 @@
 	// Members are the control VMs of the settings, in order.
 	Members []catalog.VMID
 	// Entries says which entry VMs exist and where. Grants are counted
-	// against it, so that a VM that is not listed gets none.
+	// against it, so that a VM that is not listed gets none. Nil takes any
+	// entry that reports.
 	Entries map[catalog.VMID]catalog.SiteID
+	// ListsUpstreams is set where upstreams announce themselves to control
+	// alone, which tells the entries of them.
+	ListsUpstreams bool
+	// Voters is how many members shall have a vote. Control then adds and
+	// replaces members by itself; zero leaves that to operators.
+	Voters int
+	// SurveyTime and PromoteTries take the place of the defaults if not zero.
+	SurveyTime   time.Duration
+	PromoteTries int
 	// Services is the configuration proposed by the first leader if there is
 	// none yet.
 	Services []catalog.Service
@@ -74,7 +85,12 @@
 	joinAt     catalog.Instant
 	sweepAt    catalog.Instant
 	seeded     bool
-	replacing  *replacement
+	// revision numbers the changes of upstreams. Invariant: it never goes back
+	// within a life of the VM, also over changes of leader.
+	revision uint64
+	// unreachable says since when a member has not answered.
+	unreachable map[catalog.VMID]catalog.Instant
+	replacing   *replacement
 
 	// leaseHeld tells whether an entry may still hold a lease. Tests put a
 	// broken one here to show that the proofs see it.
@@ -118,6 +134,8 @@
 	c.evidence = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspects = map[catalog.ServiceID]catalog.Instant{}
 	c.watchAllAt, c.warmAt = 0, 0
+	c.revision = max(c.revision+1, uint64(c.now))
+	c.unreachable = map[catalog.VMID]catalog.Instant{}
 	c.replacing = nil
 	if c.joins == nil {
 		c.joins = map[catalog.VMID]catalog.Incarnation{}
@@ -153,6 +171,8 @@
 		c.operate(v)
 	case DrainAsked:
 		c.drain()
+	case SeedsChanged:
+		c.options.Members = v.Control
 	}
 }
 
@@ -174,7 +194,7 @@
 	case m.Announcement != nil:
 		c.heard(*m.Announcement)
 	case m.Join != nil:
-		c.joins[m.Join.VM] = m.Join.Incarnation
+		c.joined(p.From, *m.Join)
 	}
 }
 
@@ -264,6 +284,7 @@
 	c.followPrimaries()
 	c.warm()
 	c.finishReplacement()
+	c.settleMembers()
 }
 
 // seed proposes the settings' services if nothing was ever accepted.
@@ -311,8 +332,8 @@
 	if c.joinAt > c.now {
 		return
 	}
-	c.joinAt = c.now.Add(joinEvery)
-	for _, vm := range c.options.Members {
+	c.joinAt = c.now.Add(joinAgain)
+	for _, vm := range c.askToJoin() {
 		if vm != self.VM {
 			c.emit(SendPeer{To: vm, Message: wire.Message{Join: &wire.Join{VM: self.VM, Incarnation: self.Incarnation}}})
 		}
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -21,7 +21,13 @@
 	case d.History != nil:
 		c.tell(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, History: c.history(d.History.Limit)})
 	case d.Settings != nil:
-		c.tell(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, Services: c.state.Services})
+		c.tell(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, Services: c.state.Services, Document: c.state.Document})
+	case d.Adopt != nil:
+		c.adopt(o.Number, d.Adopt.Configuration)
+	case d.Announce != nil:
+		c.announced(o.Number, d.Announce.Announcement)
+	case d.Retire != nil:
+		c.retireLife(o.Number, *d.Retire)
 	case d.Switch != nil:
 		c.switchPrimary(o.Number, *d.Switch)
 	case d.Replace != nil:
--- a/node/control_promote.go
+++ b/node/control_promote.go
@@ -27,7 +27,7 @@
 	case !f.asked && c.upstreams[f.target] != nil:
 		c.promote(s, f)
 	case !f.asked && f.phaseAt.Add(c.options.Timings.Suspect).Before(c.now):
-		f.tries = promoteTries
+		f.tries = c.promoteTries()
 		c.promoteFailed(s, f)
 	case f.phaseAt.Add(promoteTime).Before(c.now):
 		c.promoteFailed(s, f)
@@ -47,7 +47,7 @@
 	before := c.state.Primary(s.ID).Term
 	if v.Position.Term <= before && v.Instance != f.from {
 		c.emit(Log{Level: LevelError, Part: "failover", Text: "An upstream used a term again.", Pairs: []string{"instance", string(v.Instance)}})
-		f.tries = promoteTries
+		f.tries = c.promoteTries()
 		c.promoteFailed(s, f)
 		return
 	}
@@ -63,7 +63,7 @@
 
 // promoteFailed tries again, or looks for another instance.
 func (c *Control) promoteFailed(s catalog.Service, f *failover) {
-	if f.tries < promoteTries {
+	if f.tries < c.promoteTries() {
 		c.promote(s, f)
 		return
 	}
@@ -71,3 +71,10 @@
 	f.tries, f.plan, f.target = 0, planNone, ""
 	c.enter(s, f, phaseSurvey)
 }
+
+func (c *Control) promoteTries() int {
+	if c.options.PromoteTries > 0 {
+		return c.options.PromoteTries
+	}
+	return promoteTries
+}
--- a/node/control_quorum.go
+++ b/node/control_quorum.go
@@ -11,6 +11,9 @@
 const (
 	sweepEvery = 20 * time.Millisecond
 	joinEvery  = time.Second
+	// joinAgain is the time between two requests to join. A repaired VM must
+	// be a member within a few seconds.
+	joinAgain = 250 * time.Millisecond
 )
 
 // drive carries out what the agreement asks for.
@@ -94,6 +97,8 @@
 		c.elected(*change.Elect)
 	case change.Ready != nil:
 		c.madeReady(*change.Ready)
+	case change.Retire != nil:
+		c.retired(*change.Retire)
 	case c.state.Version != before:
 		c.pushAll()
 	}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -25,6 +25,10 @@
 	services    []catalog.ServiceID
 	// leases says until when the entry may acknowledge writes of an epoch.
 	leases map[catalog.ServiceID]leaseView
+	// upstreams is that of the last report.
+	upstreams wire.UpstreamsMark
+	// membersAt is when the entry was last told of the control VMs.
+	membersAt catalog.Instant
 	// wants are those of the last report.
 	wants []wire.Want
 }
@@ -51,6 +55,9 @@
 type upstreamView struct {
 	said    catalog.Announcement
 	heardAt catalog.Instant
+	// revision is the leader's count at the last change that entries must
+	// hear of.
+	revision uint64
 }
 
 func (c *Control) heard(a catalog.Announcement) {
@@ -69,23 +76,38 @@
 		c.emit(Count{Name: "announcements-refused", Delta: 1})
 		return
 	}
-	if u.said.Life == a.Life && u.said.Leaving {
+	if u.said.Life == a.Life && u.said.Leaving || c.state.IsRetired(a.Instance, a.Life) {
 		a.Leaving = true
 	}
+	changed := differs(u.said, a)
 	if a.Leaving != u.said.Leaving || a.Role != u.said.Role {
 		c.suspect(a.Service)
 	}
 	u.said, u.heardAt = a, c.now
+	if changed {
+		c.revise(u)
+		c.pushUpstreams()
+	}
+}
+
+// pushUpstreams tells the entries of changed upstreams at once.
+func (c *Control) pushUpstreams() {
+	if c.options.ListsUpstreams {
+		c.pushAll()
+	}
 }
 
 func (c *Control) addUpstream(a catalog.Announcement) {
+	a.Leaving = a.Leaving || c.state.IsRetired(a.Instance, a.Life)
 	u := &upstreamView{said: a, heardAt: c.now}
+	c.revise(u)
 	c.upstreams[a.Instance] = u
 	group := append(c.groups[a.Service], u)
 	sort.Slice(group, func(i, j int) bool { return group[i].said.Instance < group[j].said.Instance })
 	c.groups[a.Service] = group
 	c.suspect(a.Service)
 	c.warmUp(u)
+	c.pushUpstreams()
 }
 
 // subscribe notes which services an entry serves.
@@ -104,13 +126,16 @@
 
 func (c *Control) report(from catalog.VMID, r wire.Report) {
 	site, known := c.options.Entries[from]
+	if c.options.Entries == nil {
+		site, known = r.Site, true
+	}
 	if !known || r.VM != from {
 		c.emit(Count{Name: "reports-refused", Delta: 1})
 		return
 	}
 	if !c.leading {
 		c.emit(SendPeer{To: from, Message: wire.Message{Answer: &wire.Answer{
-			Leader: c.quorum.Leader(), Refused: true, Sequence: r.Sequence,
+			Leader: c.quorum.Leader(), Refused: true, Sequence: r.Sequence, Members: c.memberNames(),
 		}}})
 		return
 	}
@@ -120,6 +145,7 @@
 	}
 	v.life, v.sequence, v.seenAt = r.Life, r.Sequence, c.now
 	v.settings, v.leaving, v.aliveWithin = r.Settings, r.Leaving, r.AliveWithin
+	v.upstreams = r.Upstreams
 	c.subscribe(from, v, r.Services)
 	for _, a := range r.Instances {
 		c.heard(a)
@@ -180,6 +206,9 @@
 	length := c.leaseLength(v.seenAt)
 	c.addLeases(a, vm, v, v.services, length)
 	if length > 0 && !v.leaving {
+		if c.options.Timings.Grant > 0 {
+			length = c.options.Timings.Grant
+		}
 		a.Grants = c.grant(vm, v, length)
 	}
 	c.emit(SendPeer{To: vm, Message: wire.Message{Answer: a}})
@@ -204,6 +233,11 @@
 		a.Version = c.state.Version
 		c.addSettings(a, v.settings)
 	}
+	c.addUpstreams(a, v.upstreams)
+	if c.options.Entries == nil && (v.membersAt == 0 || c.now.Sub(v.membersAt) > tellMembersEvery) {
+		v.membersAt = c.now
+		a.Members = c.memberNames()
+	}
 	return a
 }
 
@@ -221,6 +255,8 @@
 		return
 	}
 	a.Settings, a.Removed = c.state.Since(have)
+	a.Routes, a.RemovedRoutes = c.state.RoutesSince(have)
+	a.TransactionIdle = c.state.TransactionIdle
 	a.Whole = have == 0
 	if c.state.DrainedAt > have {
 		a.Drained, a.HasDrained = c.state.Drained, true
@@ -293,7 +329,12 @@
 	}
 }
 
-const forgetAfter = time.Minute
+const (
+	forgetAfter = time.Minute
+	// tellMembersEvery is the time between two lists of the control VMs to an
+	// entry, short against the life of a control VM.
+	tellMembersEvery = 2 * time.Second
+)
 
 // serviceVMs lists entries by service.
 type serviceVMs map[catalog.ServiceID]map[catalog.VMID]bool
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/registry"
@@ -26,7 +27,7 @@
 
 func (c *Control) askAll(s catalog.Service, f *failover) {
 	f.answers = map[catalog.InstanceID]Surveyed{}
-	f.surveyEnds = c.now.Add(surveyTime)
+	f.surveyEnds = c.now.Add(c.surveyTime())
 	f.surveyAt = c.now.Add(surveyAgain)
 	for _, u := range c.instancesOf(s.ID) {
 		f.surveys[c.askUpstream(u, f.surveyEnds)] = u.said.Instance
@@ -60,17 +61,27 @@
 	if target == "" {
 		return c.abandonPlan(s, f)
 	}
-	c.enter(s, f, phaseElect)
 	f.target, f.from = target, old
-	if !c.propose(registry.Change{Elect: &registry.Elect{Service: s.ID, Epoch: f.epoch + 1, Instance: target}}, 0) {
+	c.elect(s, f)
+	return true
+}
+
+// elect has the target agreed on as the next primary.
+func (c *Control) elect(s catalog.Service, f *failover) {
+	c.enter(s, f, phaseElect)
+	f.electing = f.epoch + 1
+	if !c.propose(registry.Change{Elect: &registry.Elect{Service: s.ID, Epoch: f.electing, Instance: f.target}}, 0) {
 		delete(c.failovers, s.ID)
 	}
-	return true
 }
 
 // answersNeeded is the least number of answers to elect by: one, or under
 // replicated so many that every majority of the group has one among them.
 func answersNeeded(s catalog.Service) int {
+	if s.SyncReplicas > 0 {
+		// A write is held by that many of the replicas, whichever they are.
+		return max(s.Instances-1-s.SyncReplicas+1, 1)
+	}
 	if s.Ack != catalog.AckReplicated {
 		return 1
 	}
@@ -148,3 +159,10 @@
 	}
 	return ""
 }
+
+func (c *Control) surveyTime() time.Duration {
+	if c.options.SurveyTime > 0 {
+		return c.options.SurveyTime
+	}
+	return surveyTime
+}
--- /dev/null
+++ b/node/control_upstreams.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"strconv"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/registry"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// adopt proposes a configuration, unless the version in force is as high.
+func (c *Control) adopt(number uint64, f catalog.Configuration) {
+	if f.Version <= c.state.Version {
+		c.tell(number, Reply{Code: ReplyOK, Version: c.state.Version, Text: "A version as high is in force."})
+		return
+	}
+	c.proposeFor(number, registry.Change{Adopt: &registry.Adopt{
+		Version: f.Version, Services: f.Services, Routes: f.Routes,
+		TransactionIdle: f.TransactionIdle, Document: f.Document,
+	}})
+}
+
+// proposeFor proposes a change whose agreement answers a command.
+func (c *Control) proposeFor(number uint64, change registry.Change) {
+	if !c.propose(change, number) {
+		c.tell(number, Reply{
+			Code: ReplyNotLeader, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.Election,
+			Text: "This VM leads no more. Ask the leader.",
+		})
+	}
+}
+
+// announced takes an upstream's word. Its leaving is agreed on before it is
+// answered, so that the next leader keeps new work from it too.
+func (c *Control) announced(number uint64, a catalog.Announcement) {
+	c.heard(a)
+	if a.Leaving && !c.state.IsRetired(a.Instance, a.Life) {
+		c.proposeFor(number, registry.Change{Retire: &registry.Retire{Instance: a.Instance, Life: a.Life}})
+		return
+	}
+	c.tell(number, Reply{Code: ReplyOK, Version: c.state.Version})
+}
+
+func (c *Control) retireLife(number uint64, r RetireLife) {
+	u := c.upstreams[r.Instance]
+	if r.Life == 0 && u != nil {
+		r.Life = u.said.Life
+	}
+	if u == nil || c.state.IsRetired(r.Instance, r.Life) {
+		c.tell(number, Reply{Code: ReplyOK, Version: c.state.Version, Text: "The upstream gets no new work."})
+		return
+	}
+	c.proposeFor(number, registry.Change{Retire: &registry.Retire{Instance: r.Instance, Life: r.Life}})
+}
+
+// retired follows the agreement that an upstream gets no new work.
+func (c *Control) retired(r registry.Retire) {
+	u := c.upstreams[r.Instance]
+	if u == nil || u.said.Life > r.Life {
+		return
+	}
+	if !u.said.Leaving {
+		u.said.Leaving = true
+		c.revise(u)
+	}
+	c.log("control", "An upstream is leaving.", "instance", string(r.Instance), "service", string(u.said.Service),
+		"life", strconv.FormatUint(r.Life, 10))
+	c.suspect(u.said.Service)
+	c.pushAll()
+}
+
+// revise notes that the entries have to hear of an upstream.
+func (c *Control) revise(u *upstreamView) {
+	c.revision++
+	u.revision = c.revision
+}
+
+// differs reports whether entries have to hear of a later announcement.
+func differs(old, a catalog.Announcement) bool {
+	a.Sequence, a.Position = old.Sequence, old.Position
+	return a != old
+}
+
+// addUpstreams adds the upstreams that changed since the entry was told.
+func (c *Control) addUpstreams(a *wire.Answer, have wire.UpstreamsMark) {
+	if !c.options.ListsUpstreams {
+		return
+	}
+	since := uint64(0)
+	if have.Leader == c.options.VM {
+		since = have.Revision
+	}
+	for _, s := range c.state.Services {
+		for _, u := range c.instancesOf(s.ID) {
+			if u.revision > since {
+				a.Upstreams = append(a.Upstreams, u.said)
+			}
+		}
+	}
+	a.UpstreamsAt = wire.UpstreamsMark{Leader: c.options.VM, Revision: c.revision}
+}
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -89,11 +89,12 @@
 	suspectedFor  = 3 * time.Second
 )
 
-// resume goes on with a promotion that an earlier leader began.
+// resume goes on with a promotion that an earlier leader began. It is elected
+// anew: the epoch fences the promotion, and two leaders must not use the same.
 func (c *Control) resume(s catalog.Service, p catalog.Primary) {
-	f := &failover{epoch: p.Epoch, target: p.Instance, startedAt: c.now, phaseAt: c.now}
+	f := &failover{epoch: p.Epoch, target: p.Instance, from: p.Instance, startedAt: c.now, phaseAt: c.now}
 	c.failovers[s.ID] = f
-	c.promote(s, f)
+	c.elect(s, f)
 }
 
 func (c *Control) primaryLeaving(p catalog.Primary) bool {
@@ -107,6 +108,10 @@
 // site if it is unknown, still reports: an upstream beyond a cut may be heard
 // by others. A new leader waits until it could have heard it.
 func (c *Control) isQuiet(u *upstreamView) bool {
+	if c.options.ListsUpstreams {
+		// Entries go on using an upstream that they reach.
+		return false
+	}
 	heard := c.graceEnds
 	if u != nil {
 		heard = max(heard, u.heardAt)
--- a/node/effect.go
+++ b/node/effect.go
@@ -56,6 +56,9 @@
 	Verify bool
 	Floor  catalog.Position
 	Forks  catalog.Forks
+	// After, if not zero, is the position that the upstream must have reached.
+	// It checks that itself and refuses as OutcomeBehind.
+	After catalog.Position
 	// AskPosition asks for the upstream's position right behind the request.
 	AskPosition bool
 	// Hold asks the shell to hold back the whole answer until AnswerRequest,
@@ -133,6 +136,21 @@
 	Reply  Reply
 }
 
+// RoutesChanged brings the routes in force from now on.
+type RoutesChanged struct {
+	Version catalog.Version
+	// Routes are sorted by key. They are not changed afterwards.
+	Routes          []catalog.Route
+	TransactionIdle time.Duration
+}
+
+// ReadinessChanged says whether this entry can serve new callers. Reason is a
+// short sentence.
+type ReadinessChanged struct {
+	Ready  bool
+	Reason string
+}
+
 // Stopped says that a planned stop is complete; the process may exit.
 type Stopped struct{}
 
@@ -182,6 +200,9 @@
 func (Follow) effect()         {}
 func (OperatorAnswer) effect() {}
 func (Stopped) effect()        {}
-func (Log) effect()            {}
-func (Count) effect()          {}
-func (Span) effect()           {}
+
+func (RoutesChanged) effect()    {}
+func (ReadinessChanged) effect() {}
+func (Log) effect()              {}
+func (Count) effect()            {}
+func (Span) effect()             {}
--- a/node/entry.go
+++ b/node/entry.go
@@ -2,8 +2,10 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
 )
 
 // EntryOptions are what an entry knows at its start.
@@ -24,6 +26,9 @@
 	Neighbours []catalog.VMID
 	// Observers is how many entries of a site observe a service, 0 for all.
 	Observers int
+	// ListsUpstreams is set where control tells the entries of upstreams, and
+	// upstreams check the position that a read asks for by themselves.
+	ListsUpstreams bool
 	// ReadPrimary sends all reads to the primary.
 	ReadPrimary bool
 	// EqualShares asks for the same share of an upstream at every entry.
@@ -52,6 +57,15 @@
 	shown, likely []*entryInstance
 
 	version catalog.Version
+	// routes are sorted by key, idle is the bound of a resting transaction.
+	routes []catalog.Route
+	idle   time.Duration
+	// upstreamsAt marks the list of upstreams that control told.
+	upstreamsAt wire.UpstreamsMark
+	// seeds are the control VMs of the own settings.
+	seeds []catalog.VMID
+	// ready is what the shell was told last.
+	ready bool
 	// drained lists the upstreams that operators keep new work from.
 	drained  []catalog.InstanceID
 	services map[catalog.ServiceID]*entryService
@@ -98,6 +112,7 @@
 		allowed:    allowance,
 	}
 	e.options.Control = sortedVMs(o.Control)
+	e.seeds = e.options.Control
 	e.options.Peers = sortedVMs(o.Peers)
 	e.siteVMs = sortedVMs(append([]catalog.VMID{o.VM}, o.Neighbours...))
 	e.report = newEntryReports(o.Life)
@@ -154,6 +169,8 @@
 		e.takeLost(v)
 	case ProbeDone:
 		e.takeProbe(v)
+	case SeedsChanged:
+		e.seeds = sortedVMs(v.Control)
 	}
 }
 
@@ -185,6 +202,7 @@
 	e.settleCatchUp()
 	e.settleDrain()
 	e.settleReport()
+	e.settleReadiness()
 	e.settleTimer()
 }
 
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -131,7 +131,8 @@
 			idle = c
 		}
 	}
-	if idle == nil || (spare < 2 && established >= 2) {
+	kept := !e.options.ListsUpstreams && spare < 2 && established >= 2
+	if idle == nil || kept {
 		i.short++
 		return nil
 	}
@@ -238,6 +239,10 @@
 			inUse++
 		}
 	}
+	if e.options.ListsUpstreams {
+		// Connections are scarce and idle ones serve no probes.
+		return min(max(inUse+i.short, 1), i.service.settings.Limits.Connections)
+	}
 	least := 1
 	if e.inUse(i.service) {
 		least = 2
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -65,7 +65,8 @@
 	i.known, i.isFresh, i.role = false, false, catalog.RoleUnknown
 	i.received = catalog.Position{}
 	i.lowest, i.cutAt = 0, 0
-	i.limit = float64(max(1, i.service.settings.Limits.Slots))
+	i.evidence = wire.EvidenceNone
+	i.limit = float64(i.slots())
 	i.nextProbe, i.openAfter, i.backoff = e.now, e.now, 0
 }
 
@@ -104,7 +105,8 @@
 func (e *Entry) forget(s *entryService) {
 	kept := s.instances[:0]
 	for _, i := range s.instances {
-		gone := e.now.Sub(i.heard) > usedBound && i.id != s.primary.Instance &&
+		listed := e.options.ListsUpstreams && !i.isLeft
+		gone := !listed && e.now.Sub(i.heard) > usedBound && i.id != s.primary.Instance &&
 			len(i.conns) == 0 && i.running == 0
 		if gone {
 			i.pending = false
@@ -134,7 +136,19 @@
 
 // takesWork reports whether new work may go to the upstream.
 func (e *Entry) takesWork(i *entryInstance) bool {
-	return i.service.isSubscribed && !i.isLeft && e.now.Before(i.heard.Add(e.options.Timings.Announce))
+	if !i.service.isSubscribed || i.isLeft {
+		return false
+	}
+	return e.options.ListsUpstreams || e.now.Before(i.heard.Add(e.options.Timings.Announce))
+}
+
+// slots is how many statements the upstream runs side by side, by its own word
+// if it gives one.
+func (i *entryInstance) slots() int {
+	if i.announcement.Slots > 0 {
+		return i.announcement.Slots
+	}
+	return max(1, i.service.settings.Limits.Slots)
 }
 
 // observes reports whether this entry is one of the observers of a service
--- /dev/null
+++ b/node/entry_listed.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// Where control lists the upstreams, entries hear of them from control alone
+// and go on using them while control is silent.
+
+// takeRoutes takes the routes that came with a higher version.
+func (e *Entry) takeRoutes(a wire.Answer) {
+	routes := slices.Clone(e.routes)
+	if a.Whole {
+		routes = nil
+	}
+	changed := map[catalog.RouteKey]bool{}
+	for _, k := range a.RemovedRoutes {
+		changed[k] = true
+	}
+	for _, r := range a.Routes {
+		changed[r.RouteKey] = true
+	}
+	routes = slices.DeleteFunc(routes, func(r catalog.Route) bool { return changed[r.RouteKey] })
+	routes = append(routes, a.Routes...)
+	slices.SortFunc(routes, func(x, y catalog.Route) int { return x.Compare(y.RouteKey) })
+	e.routes, e.idle = routes, a.TransactionIdle
+	e.emit(RoutesChanged{Version: e.version, Routes: routes, TransactionIdle: e.idle})
+}
+
+// takeUpstreams takes what control lists of upstreams.
+func (e *Entry) takeUpstreams(a wire.Answer) {
+	if a.UpstreamsAt.Leader == "" {
+		return
+	}
+	same := a.UpstreamsAt.Leader == e.upstreamsAt.Leader
+	if same && a.UpstreamsAt.Revision < e.upstreamsAt.Revision {
+		return
+	}
+	e.upstreamsAt = a.UpstreamsAt
+	for _, said := range a.Upstreams {
+		e.takeAnnouncement(said, false)
+	}
+}
+
+// takeMembers replaces the control VMs that reports may go to.
+func (e *Entry) takeMembers(members []catalog.VMID) {
+	if len(members) > 0 {
+		e.options.Control = sortedVMs(members)
+	}
+}
+
+// controlVMs lists whom to ask while no leader is known. Those of the settings
+// come in if the members known do not answer.
+func (e *Entry) controlVMs() []catalog.VMID {
+	if !e.options.ListsUpstreams || e.now.Sub(e.report.heardAt) < askSeedsAfter {
+		return e.options.Control
+	}
+	all := append(slices.Clone(e.options.Control), e.seeds...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+const (
+	// askSeedsAfter is how long the known control VMs may be silent before
+	// those of the settings are asked too: longer than a change of leader.
+	askSeedsAfter = 1500 * time.Millisecond
+	// cutOffAfter is how long no control VM may answer before this entry
+	// counts as cut off. A change of leader keeps the others answering, so a
+	// few reports are enough.
+	cutOffAfter = 5
+)
+
+// unheard reports whether no control VM has answered for some reports.
+func (e *Entry) unheard() bool {
+	return e.now.Sub(e.report.heardAt) > cutOffAfter*e.options.Timings.Report
+}
+
+// settleReadiness tells the shell when this entry begins or ceases to be able
+// to serve new callers.
+func (e *Entry) settleReadiness() {
+	reason := ""
+	switch {
+	case e.leaving:
+		reason = "this entry is stopping"
+	case !e.catchUp.inForce:
+		reason = "the entry has no configuration yet"
+	case e.options.ListsUpstreams && e.unheard() && e.cutOff():
+		reason = "control is out of reach"
+	}
+	if ready := reason == ""; ready != e.ready {
+		e.ready = ready
+		e.emit(ReadinessChanged{Ready: ready, Reason: reason})
+	}
+}
+
+// listedReplicas returns the replicas for a read whose floor the upstream
+// checks itself: those that have shown to cover it, and those that may.
+func (e *Entry) listedReplicas(s *entryService, r *entryRequest, floor catalog.Position) (shown, likely []*entryInstance) {
+	shown, likely = e.shown[:0], e.likely[:0]
+	for _, i := range s.instances {
+		if r.primaryOnly || i.id == s.primary.Instance || !e.usable(i) || e.isBad(i) {
+			continue
+		}
+		switch {
+		case i.known && !i.position.Less(floor):
+			shown = append(shown, i)
+		case i == r.avoid || r.verifies >= verifyTries:
+		case !i.known || e.now.Sub(i.knownAt) > trustBehind || e.likelyCovers(s, i, floor):
+			likely = append(likely, i)
+		}
+	}
+	e.shown, e.likely = shown, likely
+	rank(shown, r)
+	rank(likely, r)
+	return shown, likely
+}
+
+// trustBehind is how long a replica that was seen to be behind is left alone
+// before a read tries it again.
+const trustBehind = 150 * time.Millisecond
+
+// isBad reports whether the last attempt to use the upstream failed.
+func (e *Entry) isBad(i *entryInstance) bool {
+	return i.evidence == wire.EvidenceRefused || i.evidence == wire.EvidenceSilent
+}
+
+// ageFloor returns the position that a read must cover to be no older than it
+// accepts, counted from its arrival. It fails if the primary's position has not
+// been seen since then.
+func (e *Entry) ageFloor(s *entryService, r *entryRequest) (catalog.Position, bool) {
+	if r.MaxAge == 0 {
+		return catalog.Position{}, true
+	}
+	oldest := r.arrived.Add(-r.MaxAge)
+	for _, x := range s.ring {
+		if !x.sentAt.Before(oldest) {
+			return x.position, true
+		}
+	}
+	return catalog.Position{}, false
+}
+
+// placeListed runs a read at a replica or at the leased primary.
+func (e *Entry) placeListed(s *entryService, r *entryRequest, p *placement) bool {
+	r.proof = false
+	age, known := e.ageFloor(s, r)
+	floor := s.primary.Forks.Clip(r.Floor)
+	if age = s.primary.Forks.Clip(age); floor.Less(age) {
+		floor = age
+	}
+	if !known || r.primaryOnly {
+		return e.startAtPrimary(s, r, p) || e.awaitPrimary(s, r, p)
+	}
+	r.after = floor
+	shown, likely := e.listedReplicas(s, r, floor)
+	for _, i := range shown {
+		if e.startRead(r, i, false) {
+			return true
+		}
+	}
+	for _, i := range likely {
+		if e.startRead(r, i, false) {
+			return true
+		}
+	}
+	if e.startAtPrimary(s, r, p) {
+		return true
+	}
+	if len(shown)+len(likely) > 0 {
+		return e.awaitReplica(s, r, p)
+	}
+	return e.awaitPrimary(s, r, p)
+}
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -49,6 +49,9 @@
 	if e.stopped || i.probeConn != 0 || !i.service.accepted {
 		return
 	}
+	if e.options.ListsUpstreams && !e.worthProbing(i) {
+		return
+	}
 	due := i.nextProbe
 	if after, wanted := e.probeWanted(i); wanted {
 		due = min(i.probedAt.Add(after), i.nextProbe)
@@ -75,6 +78,18 @@
 	e.emit(Probe{Conn: idle.id, Deadline: e.now.Add(e.options.Timings.ProbeTimeout)})
 }
 
+// worthProbing reports whether an upstream that takes part in callers' work has
+// been silent for long. Answers to callers tell all that a probe would, and a
+// probe takes one of the upstream's slots.
+func (e *Entry) worthProbing(i *entryInstance) bool {
+	quiet := e.now.Sub(i.alive) >= e.options.Timings.Probe
+	asked := i.running > 0 || i.id == i.service.primary.Instance && e.inUse(i.service)
+	if asked && !quiet {
+		e.wake(i.alive.Add(e.options.Timings.Probe))
+	}
+	return asked && quiet
+}
+
 // probeWanted reports whether requests wait for the upstream's position, and
 // how long after the last probe it is worth asking again.
 func (e *Entry) probeWanted(i *entryInstance) (after time.Duration, wanted bool) {
@@ -172,12 +187,15 @@
 	}
 	s := i.service
 	if s.primary.Instance == i.id {
-		if e.leaseHolds(s, s.primary.Epoch, e.now) && i.role == catalog.RolePrimary && at.Term >= s.primary.Term {
+		if e.leaseHolds(s, s.primary.Epoch, e.now) && (i.role == catalog.RolePrimary || e.options.ListsUpstreams) && at.Term >= s.primary.Term {
 			e.pushRing(s, ringEntry{sentAt: sentAt, position: at})
 			e.floorsFrom(s, a, at)
 		}
 		return
 	}
+	if e.options.ListsUpstreams && s.primary.Ready {
+		i.role = catalog.RoleReplica
+	}
 	e.refresh(s, i)
 }
 
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -99,7 +99,7 @@
 // adapt lets the running limit grow slowly while answers are quick and cuts it
 // when they take much longer than the quickest seen.
 func (e *Entry) adapt(i *entryInstance, took time.Duration) {
-	most := float64(max(1, i.service.settings.Limits.Slots))
+	most := float64(i.slots())
 	if i.lowest == 0 || took < i.lowest {
 		i.lowest = max(took, 1)
 	}
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -14,6 +14,9 @@
 	if !r.floorKnown {
 		return e.awaitFloor(s, r, p)
 	}
+	if e.options.ListsUpstreams {
+		return e.placeListed(s, r, p)
+	}
 	r.proof = false
 	shown, likely := e.candidates(s, r)
 	for _, i := range shown {
@@ -206,7 +209,7 @@
 	case OutcomeBehind:
 		r.verifies++
 		e.requeue(r)
-	case OutcomeLost:
+	case OutcomeLost, OutcomeFailed:
 		if !canRepeat || !e.retry(r, readTries) {
 			e.answerUnknown(r, "the connection broke before the answer arrived")
 		}
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -37,6 +37,8 @@
 	pending []*entryInstance
 	// taken are the reports that the present leader answered.
 	taken map[uint64]bool
+	// heardAt is when any control VM answered last, be it as leader or not.
+	heardAt catalog.Instant
 	// listed are the services that reports speak of, ascending by id.
 	listed []*entryService
 }
@@ -101,7 +103,7 @@
 		e.emit(SendPeer{To: p.leader, Message: wire.Message{Report: m}})
 		return
 	}
-	for _, vm := range e.options.Control {
+	for _, vm := range e.controlVMs() {
 		e.emit(SendPeer{To: vm, Message: wire.Message{Report: m}})
 	}
 }
@@ -110,6 +112,7 @@
 	m := &wire.Report{
 		VM: e.options.VM, Site: e.options.Site, Life: e.options.Life,
 		Sequence: e.report.sequence, Settings: e.version, Leaving: e.leaving && !e.writes(),
+		Upstreams: e.upstreamsAt,
 	}
 	for _, s := range e.report.listed {
 		if s.isSubscribed {
@@ -162,6 +165,8 @@
 	if !ok {
 		return
 	}
+	p.heardAt = e.now
+	e.takeMembers(a.Members)
 	if a.Refused {
 		e.takeRefusal(from, a)
 		return
@@ -178,6 +183,7 @@
 		}
 	}
 	e.takeSettings(a)
+	e.takeUpstreams(a)
 	for _, l := range a.Leases {
 		e.takeLease(l, sent)
 	}
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -13,7 +13,7 @@
 	s := e.services[v.Service]
 	r := &entryRequest{RequestArrived: v, service: s, arrived: e.now, step: e.steps, queued: e.now}
 	r.Class = min(v.Class, ClassBrowse)
-	r.primaryOnly = e.options.ReadPrimary
+	r.primaryOnly = e.options.ReadPrimary || v.PrimaryOnly
 	r.floorKnown = !v.FloorUnknown || r.primaryOnly
 	e.requests[r.Request] = r
 	if !e.catchUp.inForce {
@@ -97,6 +97,9 @@
 	if r.verify {
 		run.Floor, run.Forks = r.Floor, s.primary.Forks
 	}
+	if r.isRead() && !r.atPrimary {
+		run.After = r.after
+	}
 	run.Hold = r.Kind == KindRead && r.atPrimary && s.settings.Ack == catalog.AckReplicated
 	run.AskPosition = c.writes || run.Hold || e.now.Sub(i.knownAt) >= e.options.Timings.Probe/2
 	e.emit(run)
@@ -112,7 +115,8 @@
 	i.running--
 	r.conn = 0
 	r.service.running = without(r.service.running, r)
-	r.ran = r.ran || v.Outcome == OutcomeLost || v.Outcome == OutcomeCompleted || v.Outcome == OutcomeBehind
+	r.ran = r.ran || v.Outcome == OutcomeLost || v.Outcome == OutcomeCompleted || v.Outcome == OutcomeFailed ||
+		v.Outcome == OutcomeBehind && !e.options.ListsUpstreams
 	e.span("upstream-run", r, r.startedAt)
 	e.noteDone(r, i, v)
 	c := e.conns[v.Conn]
@@ -191,7 +195,7 @@
 			return
 		}
 		e.acknowledge(r, v)
-	case OutcomeLost, OutcomeBehind:
+	case OutcomeLost, OutcomeBehind, OutcomeFailed:
 		e.answerUnknown(r, "the connection broke within the transaction")
 	default:
 		if c != nil && c.inTransaction {
--- a/node/entry_settings.go
+++ b/node/entry_settings.go
@@ -18,6 +18,7 @@
 			e.service(id).accepted = false
 		}
 	}
+	e.takeRoutes(a)
 	for _, c := range a.Settings {
 		e.configure(c)
 	}
@@ -44,6 +45,6 @@
 		return
 	}
 	for _, i := range s.instances {
-		i.limit = float64(max(1, c.Limits.Slots))
+		i.limit = float64(i.slots())
 	}
 }
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -233,6 +233,8 @@
 	proof bool
 	// writes is set if the request may end a transaction that writes.
 	writes bool
+	// after is the position that a replica is asked to have reached.
+	after catalog.Position
 	// primaryOnly is set for a read that a replica refused as a write.
 	primaryOnly bool
 	// avoid is the instance that failed it last.
--- a/node/event.go
+++ b/node/event.go
@@ -80,6 +80,8 @@
 	// MaxAge, if not zero, is the age of data that the read accepts. Floor
 	// holds all the same.
 	MaxAge time.Duration
+	// PrimaryOnly keeps a read at the primary.
+	PrimaryOnly bool
 	// Deadline is when the caller stops waiting.
 	Deadline catalog.Instant
 }
@@ -109,6 +111,9 @@
 	// OutcomeNotReady means that the upstream takes no statements for now
 	// (57P03, 53300); nothing ran.
 	OutcomeNotReady
+	// OutcomeFailed means that the upstream ran the request and failed. What
+	// only reads may run again elsewhere.
+	OutcomeFailed
 	// OutcomeLost means that bytes left and the connection broke before the
 	// whole answer arrived.
 	OutcomeLost
@@ -206,6 +211,12 @@
 	Command Command
 }
 
+// SeedsChanged names other control VMs to ask when those known do not answer.
+type SeedsChanged struct {
+	Control []catalog.VMID
+}
+
+func (SeedsChanged) input()       {}
 func (TimerFired) input()         {}
 func (PeerReceived) input()       {}
 func (Announced) input()          {}
--- a/registry/apply.go
+++ b/registry/apply.go
@@ -16,6 +16,10 @@
 		return s.elect(*c.Elect)
 	case c.Ready != nil:
 		return s.ready(*c.Ready)
+	case c.Adopt != nil:
+		return s.adopt(*c.Adopt)
+	case c.Retire != nil:
+		return s.retire(*c.Retire)
 	}
 	digest := digestOf(c)
 	if r, ok := s.known[c.ID]; ok && c.ID != "" {
@@ -92,23 +96,23 @@
 			return s.invalid(fmt.Sprintf("service %s is given twice", v.ID))
 		}
 	}
-	s.touchDifferences(sorted)
+	s.touchDifferences(sorted, s.Version+1)
 	s.Services = sorted
 	return s.accepted(fmt.Sprintf("%d services in force", len(sorted)))
 }
 
 // touchDifferences notes the services that a new list adds, changes or drops.
-func (s *State) touchDifferences(next []catalog.Service) {
+func (s *State) touchDifferences(next []catalog.Service, version catalog.Version) {
 	kept := map[catalog.ServiceID]bool{}
 	for _, v := range next {
 		kept[v.ID] = true
 		if old, ok := s.Service(v.ID); !ok || old != v {
-			s.touch(v.ID)
+			s.touch(v.ID, version)
 		}
 	}
 	for _, v := range s.Services {
 		if !kept[v.ID] {
-			s.touch(v.ID)
+			s.touch(v.ID, version)
 		}
 	}
 }
@@ -120,7 +124,7 @@
 	if _, ok := s.Service(v.ID); ok {
 		return s.invalid(fmt.Sprintf("service %s exists already", v.ID))
 	}
-	s.touch(v.ID)
+	s.touch(v.ID, s.Version+1)
 	s.Services = append(append([]catalog.Service(nil), s.Services...), v)
 	sort.Slice(s.Services, func(i, j int) bool { return s.Services[i].ID < s.Services[j].ID })
 	return s.accepted(fmt.Sprintf("service %s created", v.ID))
@@ -136,7 +140,7 @@
 			kept = append(kept, v)
 		}
 	}
-	s.touch(id)
+	s.touch(id, s.Version+1)
 	s.Services = kept
 	return s.accepted(fmt.Sprintf("service %s removed", id))
 }
--- a/registry/change.go
+++ b/registry/change.go
@@ -4,6 +4,8 @@
 package registry
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
@@ -24,6 +26,26 @@
 	Drain   *DrainUpstream `cbor:"6,keyasint,omitempty"`
 	Elect   *Elect         `cbor:"7,keyasint,omitempty"`
 	Ready   *Ready         `cbor:"8,keyasint,omitempty"`
+	Adopt   *Adopt         `cbor:"9,keyasint,omitempty"`
+	Retire  *Retire        `cbor:"10,keyasint,omitempty"`
+}
+
+// Adopt replaces the whole configuration if its version is higher than that in
+// force. Otherwise it changes nothing and is still accepted, so that a resend
+// never fails.
+type Adopt struct {
+	Version         catalog.Version   `cbor:"1,keyasint"`
+	Services        []catalog.Service `cbor:"2,keyasint"`
+	Routes          []catalog.Route   `cbor:"3,keyasint"`
+	TransactionIdle time.Duration     `cbor:"4,keyasint"`
+	// Document is the compressed text of the operator.
+	Document []byte `cbor:"5,keyasint"`
+}
+
+// Retire keeps new work from one life of an upstream for good.
+type Retire struct {
+	Instance catalog.InstanceID `cbor:"1,keyasint"`
+	Life     uint64             `cbor:"2,keyasint"`
 }
 
 // ReplaceAll sets the whole list of services.
--- a/registry/state.go
+++ b/registry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -41,6 +42,12 @@
 	Version catalog.Version   `cbor:"2,keyasint"`
 }
 
+// RouteTouch is the last change of one route.
+type RouteTouch struct {
+	Key     catalog.RouteKey `cbor:"1,keyasint"`
+	Version catalog.Version  `cbor:"2,keyasint"`
+}
+
 // State is the agreed state.
 type State struct {
 	// Version numbers the accepted configurations. Invariant: it only grows.
@@ -60,6 +67,16 @@
 	Touched []Touch `cbor:"6,keyasint"`
 	// DrainedAt is the version that last changed Drained.
 	DrainedAt catalog.Version `cbor:"7,keyasint"`
+	// Routes are sorted by key.
+	Routes          []catalog.Route `cbor:"8,keyasint,omitempty"`
+	TransactionIdle time.Duration   `cbor:"9,keyasint,omitempty"`
+	// Document is the compressed text of the configuration in force.
+	Document []byte `cbor:"10,keyasint,omitempty"`
+	// RoutesTouched is to Routes what Touched is to Services.
+	RoutesTouched []RouteTouch `cbor:"11,keyasint,omitempty"`
+	// Retired are the lives of upstreams that get no new work, the oldest
+	// first. Invariant: at most one for each instance, at most keptRetired.
+	Retired []Retire `cbor:"12,keyasint,omitempty"`
 	// known finds a result by change id; it is derived from Results.
 	known map[catalog.ChangeID]Result
 }
@@ -148,8 +165,7 @@
 }
 
 // touch notes that a service is changed by the version in the making.
-func (s *State) touch(id catalog.ServiceID) {
-	version := s.Version + 1
+func (s *State) touch(id catalog.ServiceID, version catalog.Version) {
 	i := sort.Search(len(s.Touched), func(i int) bool { return s.Touched[i].ID >= id })
 	if i < len(s.Touched) && s.Touched[i].ID == id {
 		s.Touched[i].Version = version
--- /dev/null
+++ b/session/request.go
@@ -0,0 +1,123 @@
+package session
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+// outcome is how a request ended.
+type outcome struct {
+	verdict node.Verdict
+	// reply is the upstream's last one.
+	reply Reply
+	// isOwn is set if an error is passed on in the upstream's own words.
+	isOwn  bool
+	floor  catalog.Position
+	reason string
+	// retryAfter is the hint when to come back.
+	retryAfter time.Duration
+	// late is set if the deadline has passed.
+	late bool
+}
+
+func (o *outcome) text() string {
+	if o.retryAfter > 0 {
+		return fmt.Sprintf("%s; try again in %d ms", o.reason, o.retryAfter.Milliseconds())
+	}
+	return o.reason
+}
+
+// Decision is one decision on a request, with what decided it.
+type Decision struct {
+	Request  string
+	Database string
+	Service  catalog.ServiceID
+	Verb     Verb
+	// Verdict is done, not-run or unknown.
+	Verdict string
+	Reason  string
+	// Instance ran it last, if any did.
+	Instance catalog.InstanceID
+	// Tries counts how often it was sent to an upstream.
+	Tries int
+	// Floor is the position that was asked for.
+	Floor catalog.Position
+	// Version is that of the configuration in force.
+	Version catalog.Version
+	Took    time.Duration
+	Waited  time.Duration
+}
+
+func (s *Server) decided(d Decision) {
+	_, d.Version = s.routes.idle()
+	s.options.Decided(d)
+}
+
+var verdictNames = [...]string{"done", "not-run", "unknown"}
+
+// classOf orders requests by the priority of their route.
+func classOf(r catalog.Route) node.Class {
+	return node.Class(min(max(r.Priority, 0), int(node.ClassBrowse)))
+}
+
+// request has the entry run one statement and waits for what comes of it.
+func (c *session) request(st Statement, route catalog.Route, kind node.RequestKind) outcome {
+	id, effects := c.server.register()
+	defer c.server.unregister(id)
+	now := c.server.options.Now()
+	in := node.RequestArrived{
+		Request: id, Service: route.Service, Kind: kind, Class: classOf(route),
+		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
+		Deadline: now.Add(route.Timeout),
+	}
+	if c.tx != nil {
+		in.Held = c.tx.held
+	}
+	if route.Reads == catalog.ReadsOwnWrites {
+		in.Floor = c.floor
+	}
+	d := Decision{Request: st.ID, Database: c.database, Service: route.Service, Verb: st.Verb, Floor: in.Floor}
+	c.server.options.Feed(in)
+	var o outcome
+	var ranAt catalog.Instant
+	for e := range effects {
+		switch v := e.(type) {
+		case node.RunRequest:
+			ranAt = c.server.options.Now()
+			d.Tries++
+			if u := c.server.options.Pool.conn(v.Conn); u != nil {
+				d.Instance = u.instance
+			}
+			done, reply := c.exchange(st, kind, v, in.Deadline)
+			o.reply = reply
+			if done.InTransaction {
+				c.hold(v.Conn)
+			}
+			c.server.options.Feed(done)
+		case node.AnswerRequest:
+			o.verdict, o.floor, o.reason, o.retryAfter = v.Verdict, v.Floor, v.Reason, v.RetryAfter
+			end := c.server.options.Now()
+			o.late = !end.Before(in.Deadline)
+			d.Verdict, d.Reason, d.Took = verdictNames[v.Verdict], v.Reason, end.Sub(now)
+			if ranAt != 0 {
+				d.Waited = ranAt.Sub(now)
+			}
+			if c.tx != nil && v.Verdict != node.VerdictDone {
+				c.tx.held = 0
+			}
+			c.server.decided(d)
+			return o
+		}
+	}
+	return o
+}
+
+// hold notes the connection of the caller's transaction.
+func (c *session) hold(conn catalog.ConnID) {
+	if c.tx != nil {
+		c.tx.held = conn
+	}
+}
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,342 @@
+package session
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+// ErrInterrupted says that a wait for a caller was interrupted; no part of a
+// statement was lost.
+const ErrInterrupted = errors.ConstError("the wait was interrupted")
+
+// awaitRoutes is how long a caller waits for this entry's first configuration.
+// Callers give up after two seconds.
+const awaitRoutes = 1500 * time.Millisecond
+
+// session is the conversation with one caller. One goroutine owns it, but for
+// release.
+type session struct {
+	server   *Server
+	link     Link
+	database string
+	// values and names are what the caller was told is in force.
+	values map[string]string
+	names  map[string]prepared
+	// floor is the position of the session's last write. Invariant: it only
+	// grows.
+	floor catalog.Position
+	tx    *transaction
+	// release is set if the caller should connect elsewhere.
+	release atomic.Bool
+}
+
+// transaction is one that the caller has open.
+type transaction struct {
+	route    catalog.Route
+	readOnly bool
+	// held is the upstream connection, zero before the first statement.
+	held catalog.ConnID
+	// wrote is set once a write was sent.
+	wrote  bool
+	failed bool
+	// restsUntil is when it may be rolled back for being idle, zero if never.
+	restsUntil time.Time
+}
+
+func (c *session) run() {
+	defer c.link.Close()
+	defer c.drop()
+	if !c.start() {
+		return
+	}
+	for {
+		c.wake()
+		st, err := c.link.Receive()
+		if errors.Is(err, ErrInterrupted) {
+			if c.isOver() {
+				return
+			}
+			continue
+		}
+		if err != nil {
+			return
+		}
+		if err := c.handle(st); err != nil {
+			return
+		}
+		if c.isOver() {
+			return
+		}
+	}
+}
+
+// start answers the caller's first message.
+func (c *session) start() bool {
+	database, err := c.link.Start()
+	if err != nil {
+		return false
+	}
+	if !c.server.routes.await(awaitRoutes) {
+		c.link.Refuse(CodeBusy, "the entry has no configuration yet")
+		return false
+	}
+	if _, ok := c.server.routes.find(database); !ok {
+		c.server.decided(Decision{Database: database, Verdict: "no-database"})
+		c.link.Refuse(CodeNoDatabase, "no database has this name")
+		return false
+	}
+	c.database = database
+	return c.link.Answer(Answer{State: StateIdle}) == nil
+}
+
+// wake has the wait for the caller end when something else is due.
+func (c *session) wake() {
+	var at time.Time
+	stopBy, stopping := c.server.stopping()
+	if c.tx == nil {
+		if stopping || c.release.Load() {
+			at = time.Now()
+		}
+	} else {
+		at = c.tx.restsUntil
+		if stopping && (at.IsZero() || stopBy.Before(at)) {
+			at = stopBy
+		}
+	}
+	c.link.Interrupt(at)
+}
+
+// isOver gives up what is due and reports whether the session must end.
+func (c *session) isOver() bool {
+	now := time.Now()
+	stopBy, stopping := c.server.stopping()
+	if c.tx == nil {
+		return (stopping || c.release.Load()) && c.link.IsWaiting()
+	}
+	rested := !c.tx.restsUntil.IsZero() && now.After(c.tx.restsUntil)
+	if rested || stopping && now.After(stopBy) {
+		c.fail()
+		c.tx.restsUntil = time.Time{}
+	}
+	return stopping && c.tx.failed && c.link.IsWaiting()
+}
+
+// fail rolls the transaction back; the caller can only end it.
+func (c *session) fail() {
+	c.drop()
+	c.tx.failed = true
+}
+
+// drop gives the connection of the transaction up, which rolls it back.
+func (c *session) drop() {
+	if c.tx == nil || c.tx.held == 0 {
+		return
+	}
+	if u := c.server.options.Pool.conn(c.tx.held); u != nil {
+		c.server.options.Feed(node.TransactionDropped{Conn: c.tx.held})
+		u.end(errors.New("its transaction was given up"), 0)
+	}
+	c.tx.held = 0
+}
+
+func (c *session) state() State {
+	switch {
+	case c.tx == nil:
+		return StateIdle
+	case c.tx.failed:
+		return StateFailed
+	default:
+		return StateTransaction
+	}
+}
+
+// succeed answers a statement that needs no upstream.
+func (c *session) succeed() error {
+	return c.link.Answer(Answer{State: c.state()})
+}
+
+func (c *session) refuse(code Code, text string) error {
+	return c.link.Answer(Answer{Code: code, Text: text, State: c.state()})
+}
+
+// handle answers one statement. An error ends the session.
+func (c *session) handle(st Statement) error {
+	if c.tx != nil {
+		return c.handleInside(st)
+	}
+	switch st.Verb {
+	case VerbBegin, VerbBeginRead:
+		return c.begin(st)
+	case VerbRead, VerbWrite, VerbExecute:
+		return c.single(st)
+	case VerbRollback:
+		return c.succeed()
+	default:
+		return c.local(st)
+	}
+}
+
+// handleInside answers a statement within a transaction.
+func (c *session) handleInside(st Statement) error {
+	t := c.tx
+	if idle, _ := c.server.routes.idle(); idle > 0 {
+		defer func() { t.restsUntil = time.Now().Add(idle) }()
+	}
+	switch {
+	case st.Verb == VerbRollback:
+		return c.rollback()
+	case t.failed && st.Verb == VerbCommit:
+		c.tx = nil
+		return c.refuse(CodeAborted, "the transaction was rolled back")
+	case t.failed:
+		return c.refuse(CodeMalformed, "the transaction has failed and can only be ended")
+	}
+	switch st.Verb {
+	case VerbRead, VerbWrite, VerbExecute, VerbCommit:
+		return c.inside(st)
+	case VerbBegin, VerbBeginRead:
+		return c.refuse(CodeMalformed, "a transaction is open already")
+	default:
+		return c.local(st)
+	}
+}
+
+// local answers what changes nothing but the session.
+func (c *session) local(st Statement) error {
+	switch st.Verb {
+	case VerbSet:
+		c.values[st.Name] = st.Value
+	case VerbPrepare:
+		c.names[st.Name] = prepared{writes: st.Writes, shape: st.Value}
+	case VerbDeallocate:
+		delete(c.names, st.Name)
+	case VerbCommit:
+		return c.refuse(CodeMalformed, "no transaction is open")
+	default:
+		return c.refuse(CodeMalformed, "the statement could not be read")
+	}
+	return c.succeed()
+}
+
+// begin opens a transaction. An upstream takes part from the first statement
+// on, so that none is held while the caller rests before it.
+func (c *session) begin(st Statement) error {
+	route, ok := c.server.routes.find(c.database)
+	if !ok {
+		return c.refuse(CodeNoDatabase, "no database has this name any more")
+	}
+	c.tx = &transaction{route: route, readOnly: st.Verb == VerbBeginRead}
+	if idle, _ := c.server.routes.idle(); idle > 0 {
+		c.tx.restsUntil = time.Now().Add(idle)
+	}
+	return c.succeed()
+}
+
+// rollback ends a transaction without keeping anything.
+func (c *session) rollback() error {
+	t := c.tx
+	if t.held != 0 {
+		c.request(Statement{Verb: VerbRollback}, t.route, node.KindInside)
+	}
+	c.drop()
+	c.tx = nil
+	return c.succeed()
+}
+
+// single runs a statement outside a transaction.
+func (c *session) single(st Statement) error {
+	route, ok := c.server.routes.find(c.database)
+	if !ok {
+		return c.refuse(CodeNoDatabase, "no database has this name any more")
+	}
+	writes, ok := c.writes(st)
+	if !ok {
+		return c.refuse(CodeMalformed, "no statement is prepared under this name")
+	}
+	kind := node.KindRead
+	if writes {
+		kind = node.KindWrite
+	}
+	return c.finish(st, c.request(st, route, kind))
+}
+
+// writes reports whether a statement may write; it fails for a name that is
+// not prepared.
+func (c *session) writes(st Statement) (writes, ok bool) {
+	if st.Verb != VerbExecute {
+		return st.Verb == VerbWrite, true
+	}
+	p, ok := c.names[st.Name]
+	return p.writes, ok
+}
+
+// inside runs a statement of a transaction, the first one behind a begin.
+func (c *session) inside(st Statement) error {
+	writes, ok := c.writes(st)
+	if !ok {
+		return c.refuse(CodeMalformed, "no statement is prepared under this name")
+	}
+	kind := node.KindInside
+	switch {
+	case c.tx.held != 0:
+	case c.tx.readOnly:
+		kind = node.KindBeginRead
+	default:
+		kind = node.KindBegin
+	}
+	c.tx.wrote = c.tx.wrote || writes
+	return c.finish(st, c.request(st, c.tx.route, kind))
+}
+
+// finish passes the outcome of a request on to the caller.
+func (c *session) finish(st Statement, o outcome) error {
+	if c.floor.Less(o.floor) {
+		c.floor = o.floor
+	}
+	ended := c.tx != nil && st.Verb == VerbCommit
+	code, text := c.verdictOf(st, &o)
+	if ended {
+		c.tx = nil
+	} else if c.tx != nil && code != CodeNone {
+		c.fail()
+	}
+	a := Answer{Body: o.reply.Body, Code: code, Text: text, State: c.state(), Position: o.reply.Position}
+	if code != CodeNone && !o.isOwn {
+		a.Body = nil
+	}
+	return c.link.Answer(a)
+}
+
+// verdictOf says what the caller is told of an outcome.
+func (c *session) verdictOf(st Statement, o *outcome) (Code, string) {
+	isCommit := st.Verb == VerbCommit
+	inside := c.tx != nil
+	switch o.verdict {
+	case node.VerdictDone:
+		if o.reply.Code != CodeNone {
+			o.isOwn = true
+		}
+		return o.reply.Code, ""
+	case node.VerdictNotRun:
+		if inside {
+			return CodeAborted, o.text()
+		}
+		return CodeBusy, o.text()
+	}
+	if inside && (!isCommit || !c.tx.wrote) {
+		// Without a commit nothing of the transaction is kept.
+		return CodeAborted, o.text()
+	}
+	if writes, _ := c.writes(st); !writes && !isCommit {
+		return CodeFailed, o.text()
+	}
+	if o.late {
+		return CodeTimeout, o.text()
+	}
+	return CodeInDoubt, o.text()
+}
--- a/telemetry/logger.go
+++ b/telemetry/logger.go
@@ -23,17 +23,21 @@
 // NewLoggerTo returns a logger that writes JSON lines. Writes need not be safe
 // for concurrent use.
 func NewLoggerTo(w io.Writer, level string) logr.Logger {
+	least := zapcore.InfoLevel
+	if level == "error" {
+		least = zapcore.ErrorLevel
+	}
+	return newLogger(zapcore.Lock(zapcore.AddSync(w)), least)
+}
+
+func newLogger(w zapcore.WriteSyncer, least zapcore.Level) logr.Logger {
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.TimeKey = "time"
 	encoder.MessageKey = "text"
 	encoder.CallerKey = zapcore.OmitKey
+	encoder.StacktraceKey = zapcore.OmitKey
 	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	least := zapcore.InfoLevel
-	if level == "error" {
-		least = zapcore.ErrorLevel
-	}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(zapcore.AddSync(w)), least)
-	return zapr.NewLogger(zap.New(core))
+	return zapr.NewLogger(zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), w, least)))
 }
 
 // Part returns a logger whose lines name a part of the system.
--- a/wire/message.go
+++ b/wire/message.go
@@ -90,6 +90,14 @@
 	// that an earlier report told of as alive and that answered the entry
 	// within this time. An entry tells of each at least once a second.
 	AliveWithin time.Duration `cbor:"11,keyasint,omitempty"`
+	// Upstreams says which of control's lists of upstreams the entry has.
+	Upstreams UpstreamsMark `cbor:"12,keyasint,omitempty"`
+}
+
+// UpstreamsMark names a state of one leader's list of upstreams.
+type UpstreamsMark struct {
+	Leader   catalog.VMID `cbor:"1,keyasint,omitempty"`
+	Revision uint64       `cbor:"2,keyasint,omitempty"`
 }
 
 // Lease lets an entry acknowledge writes that ran under one epoch.
@@ -131,6 +139,18 @@
 	// Removed lists the services that were removed between the entry's
 	// version and Version.
 	Removed []catalog.ServiceID `cbor:"11,keyasint,omitempty"`
+	// Routes and RemovedRoutes are to routes what Settings and Removed are to
+	// services.
+	Routes        []catalog.Route    `cbor:"12,keyasint,omitempty"`
+	RemovedRoutes []catalog.RouteKey `cbor:"13,keyasint,omitempty"`
+	// TransactionIdle is that of the configuration of Version.
+	TransactionIdle time.Duration `cbor:"14,keyasint,omitempty"`
+	// Upstreams are those that changed since the mark of the report, and
+	// UpstreamsAt marks the list with them.
+	Upstreams   []catalog.Announcement `cbor:"15,keyasint,omitempty"`
+	UpstreamsAt UpstreamsMark          `cbor:"16,keyasint,omitempty"`
+	// Members are the control VMs, empty if the entry was told before.
+	Members []catalog.VMID `cbor:"17,keyasint,omitempty"`
 }
 
 // SettingsAsk asks another entry for the accepted configuration if it has a
