node: grant connections at once under a new leader that lists upstreams

Cause: a new leader waits for the leases of the one before (2 s) before it grants more connections than an entry holds. Upstreams of the platform bound their connections themselves, so that a grant too many is refused there and does no harm.

Test: TestListedGrantsAtOnce, red before.

--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -99,9 +99,10 @@
 		local = s.Limits.LocalShare
 	}
 	id := u.said.Instance
-	if c.now.Before(c.graceEnds) {
+	if c.now.Before(c.graceEnds) && !c.options.ListsUpstreams {
 		// Grants of the leader before are not known here. What the entry
-		// holds is within its own, so renewing just that is safe.
+		// holds is within its own, so renewing just that is safe. Upstreams
+		// that bound their connections themselves need no such care.
 		return max(w.Held-local, 0)
 	}
 	wanted := max(w.Wanted-local, 0)
--- /dev/null
+++ b/node/control_listed_test.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/registry"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// listedControl is a control VM that is alone in its system and leads at once,
+// where upstreams announce themselves to control.
+type listedControl struct {
+	control *Control
+	now     catalog.Instant
+	sent    []SendPeer
+	replies map[uint64]Reply
+	asked   []Effect
+	number  uint64
+}
+
+func newListedControl(saved quorum.Saved) *listedControl {
+	if saved.Self.VM == "" {
+		self := quorum.Member{VM: "c1", Incarnation: 1, Voter: true}
+		saved = quorum.Saved{Self: self, Snapshot: quorum.Snapshot{Members: []quorum.Member{self}}}
+	}
+	w := &listedControl{now: catalog.Instant(time.Second), replies: map[uint64]Reply{}}
+	timings := catalog.DefaultTimings()
+	timings.Grant = 10 * time.Second
+	c, err := NewControl(ControlOptions{
+		VM: "c1", Timings: timings, Members: []catalog.VMID{"c1"}, ListsUpstreams: true, Voters: 3, PromoteTries: 1, Saved: saved,
+	}, w.now)
+	if err != nil {
+		panic(err)
+	}
+	w.control = c
+	w.pass(time.Second)
+	return w
+}
+
+func (w *listedControl) step(in Input) {
+	w.carryOut(w.control.Step(Event{Now: w.now, Input: in}))
+}
+
+func (w *listedControl) carryOut(effects []Effect) {
+	for _, e := range effects {
+		switch v := e.(type) {
+		case Persist:
+			w.step(Persisted{Token: v.Token})
+		case SendPeer:
+			w.sent = append(w.sent, v)
+		case OperatorAnswer:
+			w.replies[v.Number] = v.Reply
+		case Survey, Promote:
+			w.asked = append(w.asked, e)
+		}
+	}
+}
+
+func (w *listedControl) pass(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.step(TimerFired{})
+	}
+}
+
+func (w *listedControl) ask(c Command) Reply {
+	w.number++
+	w.step(OperatorAsked{Number: w.number, Command: c})
+	return w.replies[w.number]
+}
+
+// lastAnswer is the newest answer to an entry.
+func (w *listedControl) lastAnswer(vm catalog.VMID) *wire.Answer {
+	for n := len(w.sent) - 1; n >= 0; n-- {
+		if w.sent[n].To == vm && w.sent[n].Message.Answer != nil {
+			return w.sent[n].Message.Answer
+		}
+	}
+	return nil
+}
+
+func listedConfiguration(version catalog.Version, timeout time.Duration) Command {
+	return Command{Adopt: &AdoptSettings{Configuration: catalog.Configuration{
+		Version: version,
+		Services: []catalog.Service{{
+			ID: "orders", Ack: catalog.AckPrimary, Instances: 1,
+			Limits: catalog.Limits{Connections: 20, Reserved: 2, Slots: 1},
+		}},
+		Routes:   []catalog.Route{{RouteKey: catalog.RouteKey{Database: "shop"}, Service: "orders", Timeout: timeout}},
+		Document: []byte{byte(version)},
+	}}}
+}
+
+func said(id catalog.InstanceID, role catalog.Role, sequence uint64) catalog.Announcement {
+	return catalog.Announcement{Service: "orders", Instance: id, Address: "10.0.0.1:1", Role: role, Life: 7, Sequence: sequence}
+}
+
+func TestListedGrantsAtOnce(t *testing.T) {
+	Convey("a new leader grants connections before the leases of the one before have ended", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		w.control.graceEnds = w.now.Add(time.Second)
+		w.step(PeerReceived{From: "e1", Message: wire.Message{Report: &wire.Report{
+			VM: "e1", Sequence: 1, Services: []catalog.ServiceID{"orders"},
+			Wants: []wire.Want{{Service: "orders", Instance: "a", Wanted: 3}},
+		}}})
+		a := w.lastAnswer("e1")
+		So(a, ShouldNotBeNil)
+		So(a.Grants, ShouldHaveLength, 1)
+		So(a.Grants[0].Connections, ShouldEqual, 3)
+	})
+}
+
+func TestListedVersions(t *testing.T) {
+	Convey("the highest version is in force, and a resend is never refused", t, func() {
+		w := newListedControl(quorum.Saved{})
+		So(w.ask(listedConfiguration(5, time.Second)).Code, ShouldEqual, ReplyOK)
+		So(w.ask(listedConfiguration(3, 2*time.Second)).Code, ShouldEqual, ReplyOK)
+		So(w.ask(listedConfiguration(5, 3*time.Second)).Code, ShouldEqual, ReplyOK)
+		reply := w.ask(Command{Settings: &SettingsQuery{}})
+		So(reply.Document, ShouldResemble, []byte{5})
+		So(w.control.state.Routes[0].Timeout, ShouldEqual, time.Second)
+		So(w.ask(listedConfiguration(9, 2*time.Second)).Version, ShouldEqual, catalog.Version(9))
+		changed, removed := w.control.state.RoutesSince(5)
+		So(changed, ShouldHaveLength, 1)
+		So(removed, ShouldBeEmpty)
+	})
+}
+
+func TestListedRetirementOutlivesTheLeader(t *testing.T) {
+	Convey("an upstream that was told it may leave gets no new work under the next leader", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		a := said("a", catalog.RoleReplica, 1)
+		w.ask(Command{Announce: &Announce{Announcement: a}})
+		a.Leaving, a.Sequence = true, 2
+		So(w.ask(Command{Announce: &Announce{Announcement: a}}).Code, ShouldEqual, ReplyOK)
+		w.control.resetLeadership()
+		w.control.leading = true
+		late := said("a", catalog.RoleReplica, 3)
+		w.ask(Command{Announce: &Announce{Announcement: late}})
+		So(w.control.upstreams["a"].said.Leaving, ShouldBeTrue)
+		Convey("until it begins another life", func() {
+			late.Life, late.Sequence = 8, 1
+			w.ask(Command{Announce: &Announce{Announcement: late}})
+			So(w.control.upstreams["a"].said.Leaving, ShouldBeFalse)
+		})
+	})
+}
+
+func TestResumedPromotionHasItsOwnEpoch(t *testing.T) {
+	Convey("a leader that goes on with a promotion uses an epoch that no other has used", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.control.propose(registry.Change{Elect: &registry.Elect{Service: "orders", Epoch: 1, Instance: "a"}}, 0)
+		w.carryOut(w.control.effects)
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RoleReplica, 1)}})
+		w.pass(2 * time.Second)
+		var epochs []catalog.Epoch
+		for _, e := range w.asked {
+			if p, ok := e.(Promote); ok {
+				epochs = append(epochs, p.Epoch)
+			}
+		}
+		So(epochs, ShouldNotBeEmpty)
+		So(epochs[0], ShouldEqual, catalog.Epoch(2))
+	})
+}
