node, registry: remember upstreams in the agreed state

Cause: the leader's list of upstreams was lost with the leader. After a loss of power the entries had leases at once, but no address until each upstream's next call came through, up to two seconds later. Control now agrees on where an upstream is when that changes; role and leaving are left to the upstream's own word.

Test: TestListedUpstreamsOutliveTheLeader, red before.

--- a/node/control.go
+++ b/node/control.go
@@ -248,6 +248,7 @@
 	t := c.options.Timings
 	c.graceEnds = c.quorum.LedSince().Add(t.Lease + t.Drift)
 	c.sweepAt = c.now
+	c.recallUpstreams()
 	c.log("control", "Leads now.")
 }
 
--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -172,3 +172,17 @@
 		So(epochs[0], ShouldEqual, catalog.Epoch(2))
 	})
 }
+
+func TestListedUpstreamsOutliveTheLeader(t *testing.T) {
+	Convey("the next leader tells entries of upstreams that have not announced themselves to it", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		w.control.resetLeadership()
+		w.pass(10 * time.Millisecond)
+		w.step(PeerReceived{From: "e1", Message: wire.Message{Report: &wire.Report{VM: "e1", Sequence: 1}}})
+		a := w.lastAnswer("e1")
+		So(a.Upstreams, ShouldHaveLength, 1)
+		So(a.Upstreams[0].Address, ShouldEqual, "10.0.0.1:1")
+	})
+}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -79,7 +79,7 @@
 	if u.said.Life == a.Life && u.said.Leaving || c.state.IsRetired(a.Instance, a.Life) {
 		a.Leaving = true
 	}
-	changed := differs(u.said, a)
+	changed, moved := differs(u.said, a), isMoved(u.said, a)
 	if a.Leaving != u.said.Leaving || a.Role != u.said.Role {
 		c.suspect(a.Service)
 	}
@@ -88,6 +88,9 @@
 		c.revise(u)
 		c.pushUpstreams()
 	}
+	if moved {
+		c.enroll(a)
+	}
 }
 
 // pushUpstreams tells the entries of changed upstreams at once.
@@ -108,6 +111,7 @@
 	c.suspect(a.Service)
 	c.warmUp(u)
 	c.pushUpstreams()
+	c.enroll(a)
 }
 
 // subscribe notes which services an entry serves.
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -99,3 +99,32 @@
 	}
 	a.UpstreamsAt = wire.UpstreamsMark{Leader: c.options.VM, Revision: c.revision}
 }
+
+// enroll has the next leader know the upstream too.
+func (c *Control) enroll(a catalog.Announcement) {
+	if !c.options.ListsUpstreams || a.Leaving {
+		return
+	}
+	// Role and leaving are the upstream's to say again.
+	a.Role, a.Position = catalog.RoleUnknown, catalog.Position{}
+	c.propose(registry.Change{Enroll: &a}, 0)
+}
+
+// isMoved reports whether an upstream must be enrolled again.
+func isMoved(old, a catalog.Announcement) bool {
+	return old.Life != a.Life || old.Address != a.Address || old.Site != a.Site || old.Slots != a.Slots
+}
+
+// recallUpstreams lists the upstreams that earlier leaders knew. They count as
+// usable for control's own choices once they announce themselves.
+func (c *Control) recallUpstreams() {
+	if !c.options.ListsUpstreams {
+		return
+	}
+	for _, a := range c.state.Upstreams {
+		u := &upstreamView{said: a}
+		c.upstreams[a.Instance] = u
+		c.groups[a.Service] = append(c.groups[a.Service], u)
+		c.revise(u)
+	}
+}
--- a/registry/adopt.go
+++ b/registry/adopt.go
@@ -111,6 +111,9 @@
 }
 
 func (s *State) retire(r Retire) Result {
+	s.Upstreams = slices.DeleteFunc(slices.Clone(s.Upstreams), func(a catalog.Announcement) bool {
+		return a.Instance == r.Instance && a.Life <= r.Life
+	})
 	kept := slices.DeleteFunc(slices.Clone(s.Retired), func(old Retire) bool {
 		return old.Instance == r.Instance && old.Life <= r.Life
 	})
@@ -125,3 +128,19 @@
 func (s *State) IsRetired(id catalog.InstanceID, life uint64) bool {
 	return slices.ContainsFunc(s.Retired, func(r Retire) bool { return r.Instance == id && life <= r.Life })
 }
+
+// enroll remembers an upstream in place of its earlier lives.
+func (s *State) enroll(a catalog.Announcement) Result {
+	if s.IsRetired(a.Instance, a.Life) {
+		return Result{Code: CodeConflict, Version: s.Version}
+	}
+	i := sort.Search(len(s.Upstreams), func(i int) bool { return s.Upstreams[i].Instance >= a.Instance })
+	switch {
+	case i == len(s.Upstreams) || s.Upstreams[i].Instance != a.Instance:
+		s.Upstreams = slices.Insert(slices.Clone(s.Upstreams), i, a)
+	case a.Newer(s.Upstreams[i]):
+		s.Upstreams = slices.Clone(s.Upstreams)
+		s.Upstreams[i] = a
+	}
+	return Result{Code: CodeOK, Version: s.Version}
+}
--- a/registry/apply.go
+++ b/registry/apply.go
@@ -20,6 +20,8 @@
 		return s.adopt(*c.Adopt)
 	case c.Retire != nil:
 		return s.retire(*c.Retire)
+	case c.Enroll != nil:
+		return s.enroll(*c.Enroll)
 	}
 	digest := digestOf(c)
 	if r, ok := s.known[c.ID]; ok && c.ID != "" {
--- a/registry/change.go
+++ b/registry/change.go
@@ -28,6 +28,9 @@
 	Ready   *Ready         `cbor:"8,keyasint,omitempty"`
 	Adopt   *Adopt         `cbor:"9,keyasint,omitempty"`
 	Retire  *Retire        `cbor:"10,keyasint,omitempty"`
+	// Enroll remembers where an upstream is, so that the next leader knows it
+	// before it has announced itself there.
+	Enroll *catalog.Announcement `cbor:"11,keyasint,omitempty"`
 }
 
 // Adopt replaces the whole configuration if its version is higher than that in
--- a/registry/state.go
+++ b/registry/state.go
@@ -77,6 +77,9 @@
 	// Retired are the lives of upstreams that get no new work, the oldest
 	// first. Invariant: at most one for each instance, at most keptRetired.
 	Retired []Retire `cbor:"12,keyasint,omitempty"`
+	// Upstreams are those that announced themselves and were not retired,
+	// sorted by instance.
+	Upstreams []catalog.Announcement `cbor:"13,keyasint,omitempty"`
 	// known finds a result by change id; it is derived from Results.
 	known map[catalog.ChangeID]Result
 }
