--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -48,7 +48,7 @@
 		Drift:     50 * time.Millisecond,
 		Announce:  4 * time.Second,
 		Heartbeat: 100 * time.Millisecond,
-		Election:  500 * time.Millisecond,
+		Election:  300 * time.Millisecond,
 		Drain:     s.StopTime - stopReserve,
 		// Upstreams bound their connections themselves, so that grants need
 		// not end as fast as leases.
