node, session: an entry that control does not answer lets its callers go

Cause: a cut-off entry stayed ready for 3 s, in which the platform sent it callers that it could only refuse.

--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -57,6 +57,7 @@
 			h.log.Info("A configuration is in force.", "part", "entry", "version", uint64(v.Version), "routes", len(v.Routes))
 		case node.ReadinessChanged:
 			ready.Store(v.Ready)
+			callers.Release(!v.Ready)
 			h.log.Info("The readiness changed.", "part", "entry", "ready", v.Ready, "cause", v.Reason)
 		default:
 			h.runCommon(e)
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -71,7 +71,7 @@
 	// cutOffAfter is how long no control VM may answer before this entry
 	// counts as cut off. A change of leader keeps the others answering, so a
 	// few reports are enough.
-	cutOffAfter = 5
+	cutOffAfter = 4
 )
 
 // unheard reports whether no control VM has answered for some reports.
@@ -88,9 +88,12 @@
 		reason = "this entry is stopping"
 	case !e.catchUp.inForce:
 		reason = "the entry has no configuration yet"
-	case e.options.ListsUpstreams && e.unheard() && e.cutOff():
+	case e.options.ListsUpstreams && e.unheard():
 		reason = "control is out of reach"
 	}
+	if e.options.ListsUpstreams && e.ready {
+		e.wake(e.report.heardAt.Add(cutOffAfter*e.options.Timings.Report + 1))
+	}
 	if ready := reason == ""; ready != e.ready {
 		e.ready = ready
 		e.emit(ReadinessChanged{Ready: ready, Reason: reason})
--- a/session/server.go
+++ b/session/server.go
@@ -53,6 +53,8 @@
 	// stopBy is when open transactions are given up in a planned stop, in
 	// nanoseconds of the time of the runtime; zero while none is under way.
 	stopBy atomic.Int64
+	// released is set while callers should connect elsewhere.
+	released atomic.Bool
 }
 
 // NewServer returns a server without callers.
@@ -140,14 +142,12 @@
 }
 
 // Release asks the callers that are between operations to connect again, since
-// this entry can't serve them.
-func (s *Server) Release() {
-	s.mutex.Lock()
-	for c := range s.sessions {
-		c.release.Store(true)
+// this entry can't serve them, until it is called with false.
+func (s *Server) Release(on bool) {
+	s.released.Store(on)
+	if on {
+		s.interrupt()
 	}
-	s.mutex.Unlock()
-	s.interrupt()
 }
 
 func (s *Server) interrupt() {
--- a/session/session.go
+++ b/session/session.go
@@ -1,7 +1,6 @@
 package session
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,8 +17,7 @@
 // Callers give up after two seconds.
 const awaitRoutes = 1500 * time.Millisecond
 
-// session is the conversation with one caller. One goroutine owns it, but for
-// release.
+// session is the conversation with one caller. One goroutine owns it.
 type session struct {
 	server   *Server
 	link     Link
@@ -31,8 +29,6 @@
 	// grows.
 	floor catalog.Position
 	tx    *transaction
-	// release is set if the caller should connect elsewhere.
-	release atomic.Bool
 }
 
 // transaction is one that the caller has open.
@@ -99,7 +95,7 @@
 	var at time.Time
 	stopBy, stopping := c.server.stopping()
 	if c.tx == nil {
-		if stopping || c.release.Load() {
+		if stopping || c.server.released.Load() {
 			at = time.Now()
 		}
 	} else {
@@ -116,7 +112,7 @@
 	now := time.Now()
 	stopBy, stopping := c.server.stopping()
 	if c.tx == nil {
-		return (stopping || c.release.Load()) && c.link.IsWaiting()
+		return (stopping || c.server.released.Load()) && c.link.IsWaiting()
 	}
 	rested := !c.tx.restsUntil.IsZero() && now.After(c.tx.restsUntil)
 	if rested || stopping && now.After(stopBy) {
