--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -68,15 +68,15 @@
 	// askSeedsAfter is how long the known control VMs may be silent before
 	// those of the settings are asked too: longer than a change of leader.
 	askSeedsAfter = 1500 * time.Millisecond
-	// cutOffAfter is how long no control VM may answer before this entry
-	// counts as cut off. A change of leader keeps the others answering, so a
-	// few reports are enough.
-	cutOffAfter = 4
+	// cutOffAfter is for how many reports no control VM may know a leader
+	// before this entry counts as cut off. A change of leader takes less.
+	cutOffAfter = 5
 )
 
-// unheard reports whether no control VM has answered for some reports.
-func (e *Entry) unheard() bool {
-	return e.now.Sub(e.report.heardAt) > cutOffAfter*e.options.Timings.Report
+// isCutOff reports whether no control VM has known a leader for some reports. One
+// in the same site may answer all the while when the site is cut off.
+func (e *Entry) isCutOff() bool {
+	return e.now.Sub(e.report.ledAt) > cutOffAfter*e.options.Timings.Report
 }
 
 // settleReadiness tells the shell when this entry begins or ceases to be able
@@ -88,11 +88,11 @@
 		reason = "this entry is stopping"
 	case !e.catchUp.inForce:
 		reason = "the entry has no configuration yet"
-	case e.options.ListsUpstreams && e.unheard():
+	case e.options.ListsUpstreams && e.isCutOff():
 		reason = "control is out of reach"
 	}
 	if e.options.ListsUpstreams && e.ready {
-		e.wake(e.report.heardAt.Add(cutOffAfter*e.options.Timings.Report + 1))
+		e.wake(e.report.ledAt.Add(cutOffAfter*e.options.Timings.Report + 1))
 	}
 	if ready := reason == ""; ready != e.ready {
 		e.ready = ready
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -37,8 +37,9 @@
 	pending []*entryInstance
 	// taken are the reports that the present leader answered.
 	taken map[uint64]bool
-	// heardAt is when any control VM answered last, be it as leader or not.
-	heardAt catalog.Instant
+	// heardAt is when any control VM answered last, and ledAt when one did
+	// that leads with a majority behind it or knows a leader.
+	heardAt, ledAt catalog.Instant
 	// listed are the services that reports speak of, ascending by id.
 	listed []*entryService
 }
@@ -166,6 +167,9 @@
 		return
 	}
 	p.heardAt = e.now
+	if a.Refused && a.Leader != "" || !a.Refused && a.Version != 0 {
+		p.ledAt = e.now
+	}
 	e.takeMembers(a.Members)
 	if a.Refused {
 		e.takeRefusal(from, a)
