daemon: leases of 1.2 s on the platform, primaries suspected after 0.7 s

Cause: a new leader waits for the leases of the one before, so a primary lost with the leader (zone cut) was replaced from 2.05 s after the election on.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -40,11 +40,11 @@
 func hostedTimings(s *platform.Settings) catalog.Timings {
 	return catalog.Timings{
 		Report:       200 * time.Millisecond,
-		Probe:        400 * time.Millisecond,
-		ProbeTimeout: 400 * time.Millisecond,
-		Suspect:      time.Second,
+		Probe:        300 * time.Millisecond,
+		ProbeTimeout: 300 * time.Millisecond,
+		Suspect:      700 * time.Millisecond,
 		// A lease outlasts a change of the control leader.
-		Lease:     2 * time.Second,
+		Lease:     1200 * time.Millisecond,
 		Drift:     50 * time.Millisecond,
 		Announce:  4 * time.Second,
 		Heartbeat: 100 * time.Millisecond,
