--- a/session/server.go
+++ b/session/server.go
@@ -154,7 +154,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for c := range s.sessions {
-		c.link.Interrupt(time.Now())
+		c.link.Interrupt(time.Now().Add(restTime))
 	}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -13,6 +13,11 @@
 // statement was lost.
 const ErrInterrupted = errors.ConstError("the wait was interrupted")
 
+// restTime is how long a caller must have been between operations before its
+// session is ended: one that is about to send the next statement would find the
+// connection closed under it.
+const restTime = 60 * time.Millisecond
+
 // awaitRoutes is how long a caller waits for this entry's first configuration.
 // Callers give up after two seconds.
 const awaitRoutes = 1500 * time.Millisecond
@@ -29,6 +34,8 @@
 	// grows.
 	floor catalog.Position
 	tx    *transaction
+	// active is when the caller was answered last.
+	active time.Time
 }
 
 // transaction is one that the caller has open.
@@ -65,6 +72,7 @@
 		if err := c.handle(st); err != nil {
 			return
 		}
+		c.active = time.Now()
 		if c.isOver() {
 			return
 		}
@@ -77,6 +85,10 @@
 	if err != nil {
 		return false
 	}
+	if c.server.released.Load() {
+		c.link.Refuse(CodeBusy, "this entry is cut off; connect again")
+		return false
+	}
 	if !c.server.routes.await(awaitRoutes) {
 		c.link.Refuse(CodeBusy, "the entry has no configuration yet")
 		return false
@@ -87,6 +99,7 @@
 		return false
 	}
 	c.database = database
+	c.active = time.Now()
 	return c.link.Answer(Answer{State: StateIdle}) == nil
 }
 
@@ -96,7 +109,7 @@
 	stopBy, stopping := c.server.stopping()
 	if c.tx == nil {
 		if stopping || c.server.released.Load() {
-			at = time.Now()
+			at = c.active.Add(restTime)
 		}
 	} else {
 		at = c.tx.restsUntil
@@ -112,7 +125,8 @@
 	now := time.Now()
 	stopBy, stopping := c.server.stopping()
 	if c.tx == nil {
-		return (stopping || c.server.released.Load()) && c.link.IsWaiting()
+		rests := now.Sub(c.active) >= restTime || stopping && now.After(stopBy)
+		return (stopping || c.server.released.Load()) && rests && c.link.IsWaiting()
 	}
 	rested := !c.tx.restsUntil.IsZero() && now.After(c.tx.restsUntil)
 	if rested || stopping && now.After(stopBy) {
