node: probe primaries when they are asked and silent, with a connection for it

Writing the test showed the reverse too: with one connection, in use, nothing was probed at all, and a primary that went silent was seen only at the request's deadline. Test: TestListedProbes, red before.

--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -240,8 +240,13 @@
 		}
 	}
 	if e.options.ListsUpstreams {
-		// Connections are scarce and idle ones serve no probes.
-		return min(max(inUse+i.short, 1), i.service.settings.Limits.Connections)
+		// Connections are scarce, so that one is kept for probes only while an
+		// upstream does not answer.
+		spare := 0
+		if e.worthProbing(i) {
+			spare = 1
+		}
+		return min(max(inUse+i.short+spare, 1), i.service.settings.Limits.Connections)
 	}
 	least := 1
 	if e.inUse(i.service) {
--- a/node/entry_listed_test.go
+++ b/node/entry_listed_test.go
@@ -155,3 +155,30 @@
 		})
 	})
 }
+
+func TestListedProbes(t *testing.T) {
+	Convey("an upstream is probed soon while a request waits for it, and rarely else", t, func() {
+		w := newListedEntry()
+		count := func(d time.Duration) int {
+			w.effects = nil
+			w.pass(d)
+			n := 0
+			for _, e := range w.effects {
+				if p, ok := e.(Probe); ok {
+					n++
+					w.step(ProbeDone{Conn: p.Conn, SentAt: w.now, Evidence: wire.EvidenceAlive, Role: catalog.RolePrimary, Position: catalog.Position{Term: 1, Offset: 5}})
+				}
+			}
+			return n
+		}
+		r, ok := w.run(RequestArrived{Request: 1, Kind: KindWrite})
+		if !ok {
+			w.pass(100 * time.Millisecond)
+			r, ok = w.running(1)
+		}
+		So(ok, ShouldBeTrue)
+		So(count(500*time.Millisecond), ShouldBeGreaterThan, 0)
+		w.step(RequestDone{Request: 1, Conn: r.Conn, Outcome: OutcomeCompleted, Position: catalog.Position{Term: 1, Offset: 6}, AskedAt: w.now, Reusable: true})
+		So(count(1900*time.Millisecond), ShouldEqual, 0)
+	})
+}
--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -82,14 +82,25 @@
 // been silent for long. Answers to callers tell all that a probe would, and a
 // probe takes one of the upstream's slots.
 func (e *Entry) worthProbing(i *entryInstance) bool {
-	quiet := e.now.Sub(i.alive) >= e.options.Timings.Probe
-	asked := i.running > 0 || i.id == i.service.primary.Instance && e.inUse(i.service)
-	if asked && !quiet {
-		e.wake(i.alive.Add(e.options.Timings.Probe))
+	most := e.options.Timings.Probe
+	if i.running == 0 {
+		if i.id != i.service.primary.Instance || !e.inUse(i.service) {
+			return false
+		}
+		most = idleProbe
 	}
-	return asked && quiet
+	due := max(i.alive, i.askedAt).Add(most)
+	if due.After(e.now) {
+		e.wake(due)
+		return false
+	}
+	return true
 }
 
+// idleProbe is how long a primary that no caller uses for the moment may be
+// silent. Its loss shows at the next request; a probe only makes that earlier.
+const idleProbe = 2 * time.Second
+
 // probeWanted reports whether requests wait for the upstream's position, and
 // how long after the last probe it is worth asking again.
 func (e *Entry) probeWanted(i *entryInstance) (after time.Duration, wanted bool) {
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -83,6 +83,9 @@
 	if r.Kind == KindInside {
 		r.epoch, r.atPrimary = c.epoch, c.atPrimary
 	}
+	if i.running == 0 {
+		i.askedAt = e.now
+	}
 	i.running++
 	s.running = append(s.running, r)
 	c.state, c.request = connBusy, r
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -127,8 +127,10 @@
 	// it stays set for that life.
 	isLeft bool
 
-	alive      catalog.Instant
-	wasAlive   bool
+	alive    catalog.Instant
+	wasAlive bool
+	// askedAt is when work began there after it had none.
+	askedAt    catalog.Instant
 	evidence   wire.Evidence
 	evidenceAt catalog.Instant
 	confirm    bool
