node, wire: shorter reports, leases renewed in one word

A report and its answer took about 1.2 KB five times a second: wants, grants and leases that had not changed. Test: TestListedRenewal.

--- a/node/control_report.go
+++ b/node/control_report.go
@@ -29,7 +29,10 @@
 	upstreams wire.UpstreamsMark
 	// membersAt is when the entry was last told of the control VMs.
 	membersAt catalog.Instant
-	// wants are those of the last report.
+	// wantsKept and primaries are those of the last report.
+	wantsKept bool
+	primaries uint64
+	// wants are those of the last report that told them.
 	wants []wire.Want
 }
 
@@ -155,7 +158,10 @@
 		c.heard(a)
 	}
 	bad := c.observe(from, r.Observations)
-	c.takeWants(from, v, r.Wants)
+	if !r.WantsKept {
+		c.takeWants(from, v, r.Wants)
+	}
+	v.wantsKept, v.primaries = r.WantsKept, r.Primaries
 	if bad {
 		c.watchSuspects()
 	}
@@ -208,8 +214,10 @@
 func (c *Control) answer(vm catalog.VMID, v *entryView) {
 	a := c.newAnswer(v)
 	length := c.leaseLength(v.seenAt)
-	c.addLeases(a, vm, v, v.services, length)
-	if length > 0 && !v.leaving {
+	if !c.renewAll(a, vm, v, length) {
+		c.addLeases(a, vm, v, v.services, length)
+	}
+	if length > 0 && !v.leaving && !v.wantsKept {
 		if c.options.Timings.Grant > 0 {
 			length = c.options.Timings.Grant
 		}
@@ -245,6 +253,29 @@
 	return a
 }
 
+// renewAll renews all leases of an entry in one word if it knows the primaries
+// in force and none of them is being replaced. It reports whether it has.
+func (c *Control) renewAll(a *wire.Answer, vm catalog.VMID, v *entryView, length time.Duration) bool {
+	if v.primaries == 0 || v.leaving || length <= 0 {
+		return false
+	}
+	primaries := make([]catalog.Primary, 0, len(v.services))
+	for _, id := range v.services {
+		if _, ok := c.state.Service(id); !ok || c.failovers[id] != nil {
+			return false
+		}
+		primaries = append(primaries, c.state.Primary(id))
+	}
+	if wire.MarkPrimaries(primaries) != v.primaries {
+		return false
+	}
+	for _, id := range v.services {
+		c.lease(vm, v, id, length)
+	}
+	a.Renew, a.Primaries = length, v.primaries
+	return true
+}
+
 func (c *Control) addLeases(a *wire.Answer, vm catalog.VMID, v *entryView, services []catalog.ServiceID, length time.Duration) {
 	for _, id := range services {
 		if _, ok := c.state.Service(id); ok {
--- a/node/entry_lease.go
+++ b/node/entry_lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/wire"
@@ -44,6 +45,17 @@
 	}
 }
 
+// renewLeases renews the leases of all services subscribed to, whose primaries
+// control found to be those known here.
+func (e *Entry) renewLeases(length time.Duration, sent catalog.Instant) {
+	for _, s := range e.report.listed {
+		if s.isSubscribed && s.primary.Ready {
+			e.touch(s)
+			e.takeLease(wire.Lease{Primary: s.primary, Length: length}, sent)
+		}
+	}
+}
+
 // changePrimary takes a choice of a higher epoch. What the old primary's
 // connections held can't be committed any more.
 func (e *Entry) changePrimary(s *entryService, p catalog.Primary) {
--- a/node/entry_listed_test.go
+++ b/node/entry_listed_test.go
@@ -7,6 +7,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/registry"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -182,3 +184,50 @@
 		So(count(1900*time.Millisecond), ShouldEqual, 0)
 	})
 }
+
+func TestListedRenewal(t *testing.T) {
+	Convey("a renewal in one word holds for the primaries that it marks, and no others", t, func() {
+		w := newListedEntry()
+		s := w.entry.services["orders"]
+		mark := w.entry.markPrimaries()
+		So(mark, ShouldNotEqual, 0)
+		w.on = false
+		w.pass(50 * time.Millisecond)
+		before := s.leaseUntil
+		renew := func(mark uint64) {
+			w.entry.report.sent[w.entry.report.sequence] = w.now
+			w.step(PeerReceived{From: "c1", Message: wire.Message{Answer: &wire.Answer{
+				Leader: "c1", Sequence: w.entry.report.sequence, Version: 1, Renew: 5 * time.Second, Primaries: mark,
+			}}})
+		}
+		renew(mark + 1)
+		So(s.leaseUntil, ShouldEqual, before)
+		renew(mark)
+		So(s.leaseUntil, ShouldBeGreaterThan, before)
+	})
+	Convey("a leader renews in one word only for the primaries in force", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		w.pass(time.Second)
+		p := catalog.Primary{Service: "orders", Epoch: 1, Instance: "a", Term: 1, Ready: true}
+		w.control.propose(registry.Change{Elect: &registry.Elect{Service: "orders", Epoch: w.control.state.Primary("orders").Epoch + 1, Instance: "a"}}, 0)
+		w.carryOut(w.control.effects)
+		p.Epoch = w.control.state.Primary("orders").Epoch
+		w.control.propose(registry.Change{Ready: &registry.Ready{Service: "orders", Epoch: p.Epoch, Term: 1}}, 0)
+		w.carryOut(w.control.effects)
+		w.control.failovers = map[catalog.ServiceID]*failover{}
+		report := func(sequence uint64, epoch catalog.Epoch) *wire.Answer {
+			known := p
+			known.Epoch = epoch
+			w.step(PeerReceived{From: "e1", Message: wire.Message{Report: &wire.Report{
+				VM: "e1", Sequence: sequence, Services: []catalog.ServiceID{"orders"}, Primaries: wire.MarkPrimaries([]catalog.Primary{known}),
+			}}})
+			return w.lastAnswer("e1")
+		}
+		So(report(1, p.Epoch).Renew, ShouldBeGreaterThan, 0)
+		a := report(2, p.Epoch-1)
+		So(a.Renew, ShouldEqual, 0)
+		So(a.Leases, ShouldHaveLength, 1)
+	})
+}
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,10 @@
 	urgent      bool
 	// pending are the instances whose announcement control has to hear.
 	pending []*entryInstance
+	// wants were last told in the report wantsIn, at wantsAt.
+	wants   []wire.Want
+	wantsIn uint64
+	wantsAt catalog.Instant
 	// taken are the reports that the present leader answered.
 	taken map[uint64]bool
 	// heardAt is when any control VM answered last, and ledAt when one did
@@ -127,9 +132,56 @@
 		}
 	}
 	e.reportAnnouncements(m)
+	e.shorten(m)
 	return m
 }
 
+// shorten leaves out of a report what the present leader knows.
+func (e *Entry) shorten(m *wire.Report) {
+	if !e.options.ListsUpstreams {
+		return
+	}
+	m.Primaries = e.markPrimaries()
+	p := &e.report
+	told := p.leader != "" && p.taken[p.wantsIn] && e.now.Before(p.wantsAt.Add(repeatWants))
+	if told && sameWants(m.Wants, p.wants) && !e.lacksGrant(m.Wants) {
+		m.Wants, m.WantsKept = nil, true
+		return
+	}
+	p.wants, p.wantsIn, p.wantsAt = m.Wants, m.Sequence, e.now
+}
+
+// markPrimaries marks the primaries of the services subscribed to.
+func (e *Entry) markPrimaries() uint64 {
+	var primaries []catalog.Primary
+	for _, s := range e.report.listed {
+		if s.isSubscribed {
+			primaries = append(primaries, s.primary)
+		}
+	}
+	return wire.MarkPrimaries(primaries)
+}
+
+// repeatWants is how long a leader may go by what it was told an entry wants;
+// short against a grant.
+const repeatWants = 2 * time.Second
+
+// sameWants reports whether nothing but the connections held has changed.
+func sameWants(x, y []wire.Want) bool {
+	return slices.EqualFunc(x, y, func(a, b wire.Want) bool {
+		return a.Instance == b.Instance && a.Service == b.Service && a.Wanted == b.Wanted
+	})
+}
+
+// lacksGrant reports whether the entry wants more of an upstream than it may
+// hold.
+func (e *Entry) lacksGrant(wants []wire.Want) bool {
+	return slices.ContainsFunc(wants, func(w wire.Want) bool {
+		i := e.services[w.Service].instance(w.Instance)
+		return i != nil && w.Wanted > e.allowed(i, e.now)
+	})
+}
+
 func (e *Entry) reportAnnouncements(m *wire.Report) {
 	for _, i := range e.report.pending {
 		if !i.pending {
@@ -191,6 +243,9 @@
 	for _, l := range a.Leases {
 		e.takeLease(l, sent)
 	}
+	if a.Renew > 0 && a.Primaries == e.markPrimaries() {
+		e.renewLeases(a.Renew, sent)
+	}
 	for _, g := range a.Grants {
 		e.takeGrant(g, sent)
 	}
--- a/node/entry_subscribe.go
+++ b/node/entry_subscribe.go
@@ -81,6 +81,10 @@
 
 // reportObservation adds what was seen of an upstream, unless control has it.
 func (e *Entry) reportObservation(m *wire.Report, i *entryInstance) {
+	if e.options.ListsUpstreams && i.id != i.service.primary.Instance && !e.isBad(i) {
+		// Control asks replicas itself when it has to choose one.
+		return
+	}
 	if e.canOmit(i) {
 		m.AliveWithin = max(m.AliveWithin, e.now.Sub(i.alive), 1)
 		return
--- a/wire/message.go
+++ b/wire/message.go
@@ -3,8 +3,11 @@
 package wire
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcupknot/kingcupknot/catalog"
 )
 
@@ -90,6 +93,12 @@
 	// that an earlier report told of as alive and that answered the entry
 	// within this time. An entry tells of each at least once a second.
 	AliveWithin time.Duration `cbor:"11,keyasint,omitempty"`
+	// WantsKept says that Wants is as in the last report that the present
+	// leader answered, and was left out.
+	WantsKept bool `cbor:"13,keyasint,omitempty"`
+	// Primaries marks the primaries that the entry knows of Services; see
+	// MarkPrimaries.
+	Primaries uint64 `cbor:"14,keyasint,omitempty"`
 	// Upstreams says which of control's lists of upstreams the entry has.
 	Upstreams UpstreamsMark `cbor:"12,keyasint,omitempty"`
 }
@@ -149,10 +158,31 @@
 	// UpstreamsAt marks the list with them.
 	Upstreams   []catalog.Announcement `cbor:"15,keyasint,omitempty"`
 	UpstreamsAt UpstreamsMark          `cbor:"16,keyasint,omitempty"`
+	// Renew, if not zero, renews the leases of all services of the report
+	// under the primaries that Primaries marks. It counts as Lease.Length.
+	Renew     time.Duration `cbor:"18,keyasint,omitempty"`
+	Primaries uint64        `cbor:"19,keyasint,omitempty"`
 	// Members are the control VMs, empty if the entry was told before.
 	Members []catalog.VMID `cbor:"17,keyasint,omitempty"`
 }
 
+// MarkPrimaries tells one set of primaries from another. It is zero if one of
+// them is not ready.
+func MarkPrimaries(primaries []catalog.Primary) uint64 {
+	d := xxhash.New()
+	var b [8]byte
+	for _, p := range primaries {
+		if !p.Ready {
+			return 0
+		}
+		// A digest takes everything.
+		_, _ = d.WriteString(string(p.Service))
+		binary.LittleEndian.PutUint64(b[:], uint64(p.Epoch))
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
 // SettingsAsk asks another entry for the accepted configuration if it has a
 // higher version.
 type SettingsAsk struct {
