node, session: see a primary that went silent or is another by now; place reads by time

An entry that had last used it long ago told so, and control took the age of its other upstreams for that one's. Later the instance was back under another id, which refuses connections meant for the old one; that said nothing to control. Both are evidence now. Test: TestListedSilenceIsNotHiddenByOthers, red before.

--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -129,7 +129,7 @@
 		if name == vm {
 			continue
 		}
-		held := l.outstanding(c.now)
+		held := max(l.outstanding(c.now), l.want.Held)
 		sum += held
 		wanted := l.want.Wanted
 		if l.site == site {
--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -186,3 +186,24 @@
 		So(a.Upstreams[0].Address, ShouldEqual, "10.0.0.1:1")
 	})
 }
+
+func TestListedSilenceIsNotHiddenByOthers(t *testing.T) {
+	Convey("an old sight of a primary is not taken for a new one because other upstreams answer", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		w.pass(5 * time.Second)
+		report := func(vm catalog.VMID, site catalog.SiteID, sequence uint64, evidence wire.Evidence, alive time.Duration) {
+			w.step(PeerReceived{From: vm, Message: wire.Message{Report: &wire.Report{
+				VM: vm, Site: site, Sequence: sequence, Services: []catalog.ServiceID{"orders"}, AliveWithin: 20 * time.Millisecond,
+				Observations: []wire.Observation{{Service: "orders", Instance: "a", Evidence: evidence, AliveAge: alive}},
+			}}})
+		}
+		report("e1", "s1", 1, wire.EvidenceSilent, 2*time.Second)
+		report("e2", "s2", 1, wire.EvidenceSilent, 2*time.Second)
+		report("e3", "s3", 1, wire.EvidenceAlive, 2*time.Second)
+		So(w.control.primaryGone(catalog.Primary{Service: "orders", Instance: "a"}), ShouldBeTrue)
+		report("e3", "s3", 2, wire.EvidenceAlive, 10*time.Millisecond)
+		So(w.control.primaryGone(catalog.Primary{Service: "orders", Instance: "a"}), ShouldBeFalse)
+	})
+}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -202,9 +202,10 @@
 }
 
 // lastAlive is when an upstream last answered the entry. Reports leave out a
-// healthy one that an earlier report told of shortly before.
+// healthy one that an earlier report told of shortly before; one that the last
+// report told of is no such.
 func (v *entryView) lastAlive(o observation) catalog.Instant {
-	if v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.seenAt.Sub(o.notedAt) > 2*repeatHealthy {
+	if o.notedAt == v.seenAt || v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.seenAt.Sub(o.notedAt) > 2*repeatHealthy {
 		return o.aliveAt
 	}
 	return max(o.aliveAt, v.seenAt.Add(-v.aliveWithin))
--- a/node/entry.go
+++ b/node/entry.go
@@ -167,6 +167,8 @@
 		e.takeOpened(v)
 	case ConnLost:
 		e.takeLost(v)
+	case ConnSettled:
+		e.takeSettled(v)
 	case ProbeDone:
 		e.takeProbe(v)
 	case SeedsChanged:
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -153,6 +153,14 @@
 	}
 }
 
+func (e *Entry) takeSettled(v ConnSettled) {
+	if c := e.conns[v.Conn]; c != nil && c.state == connLate {
+		e.touch(c.instance.service)
+		e.seeAlive(c.instance)
+		e.free(c)
+	}
+}
+
 func (e *Entry) takeLost(v ConnLost) {
 	c := e.conns[v.Conn]
 	if c == nil {
@@ -212,7 +220,9 @@
 		e.wake(i.openAfter)
 		return
 	}
-	if i.backoff > 0 || i.confirm {
+	if i.backoff > 0 || i.confirm || e.options.ListsUpstreams {
+		// Opening takes one of the upstream's slots for a while, so that many
+		// at once would stop its work.
 		missing = min(missing, 1-i.opening())
 	}
 	i.confirm = false
@@ -246,7 +256,11 @@
 		if e.worthProbing(i) {
 			spare = 1
 		}
-		return min(max(inUse+i.short+spare, 1), i.service.settings.Limits.Connections)
+		least := 0
+		if i.id == i.service.primary.Instance {
+			least = 1
+		}
+		return min(max(inUse+i.short+spare, least), i.service.settings.Limits.Connections)
 	}
 	least := 1
 	if e.inUse(i.service) {
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -117,8 +117,8 @@
 		}
 	}
 	e.shown, e.likely = shown, likely
-	rank(shown, r)
-	rank(likely, r)
+	e.rankListed(shown, r)
+	e.rankListed(likely, r)
 	return shown, likely
 }
 
@@ -170,7 +170,16 @@
 			return true
 		}
 	}
-	if e.startAtPrimary(s, r, p) {
+	primary := s.primaryInstance()
+	if primary != nil && !r.weighed {
+		r.weighed = true
+		r.yields = e.yields(r, primary)
+	}
+	if !r.yields && e.startAtPrimary(s, r, p) {
+		return true
+	}
+	if r.yields && len(shown)+len(likely) == 0 {
+		e.refuse(r, "no replica is new enough and the primary is busy", primary.expected(e.now))
 		return true
 	}
 	if len(shown)+len(likely) > 0 {
--- /dev/null
+++ b/node/entry_pressure.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// A read that no replica can serve may run at the primary, which has work that
+// only it can do. When replicas fall behind, all reads of a service come there
+// at once, from entries that do not see each other. Each entry goes by the time
+// that its own requests take at the primary: the longer that is against the
+// latency that the read should keep, the fewer reads it sends, and the others
+// are refused at once. Writes and reads that must run at the primary are not
+// held back by this.
+
+// tookHalf is how long it takes until an upstream's time counts for half, so
+// that an entry that sent nothing for a while tries again.
+const tookHalf = 400 * time.Millisecond
+
+// note learns from the time that a request took.
+func (i *entryInstance) note(took time.Duration, now catalog.Instant) {
+	old := i.expected(now)
+	i.took, i.tookAt = old+(took-old)/4, now
+}
+
+// expected is the time that a request is expected to take at the upstream.
+func (i *entryInstance) expected(now catalog.Instant) time.Duration {
+	halves := float64(now.Sub(i.tookAt)) / float64(tookHalf)
+	return time.Duration(float64(i.took) / (1 + halves))
+}
+
+// yields reports whether a read leaves the primary to the work that only it can
+// do.
+func (e *Entry) yields(r *entryRequest, i *entryInstance) bool {
+	if r.primaryOnly || r.Objective <= 0 {
+		return false
+	}
+	expected, room := i.expected(e.now), r.Objective/2
+	if expected <= room {
+		return false
+	}
+	// Of reads that all yield the primary hears nothing, so some go on.
+	return time.Duration(e.draw()%uint64(expected)) >= room
+}
+
+// Entries do not see each other's work, so a replica's load shows in the time
+// that it takes. A read goes where it is expected to end first.
+const (
+	// leastTook keeps an upstream that was not used lately from looking free
+	// of cost.
+	leastTook = 5 * time.Millisecond
+	// farFactor is how much longer an upstream of another site may take to be
+	// chosen all the same; the way there costs little time but is paid for.
+	farFactor = 2
+)
+
+// cost is the time after which a read is expected to end at the upstream,
+// weighed by where it is.
+func (e *Entry) cost(i *entryInstance, r *entryRequest) time.Duration {
+	n := time.Duration(i.running + i.short + 1)
+	c := n * max(i.expected(e.now), leastTook)
+	if !i.own {
+		c *= farFactor
+	}
+	if i == r.avoid {
+		c += avoidCost
+	}
+	return c
+}
+
+// avoidCost puts an upstream that has just failed a request behind all others.
+const avoidCost = time.Hour
+
+// rankListed orders replicas by cost, and those alike differently at each entry.
+func (e *Entry) rankListed(is []*entryInstance, r *entryRequest) {
+	slices.SortStableFunc(is, func(a, b *entryInstance) int {
+		if n := cmp.Compare(e.cost(a, r), e.cost(b, r)); n != 0 {
+			return n
+		}
+		return cmp.Compare(a.preference, b.preference)
+	})
+}
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -151,6 +151,7 @@
 	case OutcomeCompleted:
 		took := e.now.Sub(r.startedAt)
 		r.service.serve += (took - r.service.serve) / 8
+		i.note(took, e.now)
 		e.adapt(i, took)
 	}
 	if v.Position.Zero() {
@@ -183,6 +184,10 @@
 		return
 	}
 	c.inTransaction = false
+	if v.Late {
+		c.state = connLate
+		return
+	}
 	if !v.Reusable {
 		c.state = connClosing
 		return
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -44,7 +44,9 @@
 
 // entryService is what the entry knows of one service.
 type entryService struct {
-	id       catalog.ServiceID
+	id catalog.ServiceID
+	// entry is the VM of this entry.
+	entry    catalog.VMID
 	settings catalog.Service
 	// accepted is set while the service is in the accepted configuration.
 	accepted bool
@@ -129,6 +131,11 @@
 
 	alive    catalog.Instant
 	wasAlive bool
+	// preference orders upstreams that are alike, each entry in its own way.
+	preference uint64
+	// took is the smoothed time that requests took there, of tookAt.
+	took   time.Duration
+	tookAt catalog.Instant
 	// askedAt is when work began there after it had none.
 	askedAt    catalog.Instant
 	evidence   wire.Evidence
@@ -191,6 +198,8 @@
 	connBusy
 	connHeld
 	connProbing
+	// connLate waits for an answer that nobody wants any more.
+	connLate
 	connClosing
 )
 
@@ -237,6 +246,9 @@
 	writes bool
 	// after is the position that a replica is asked to have reached.
 	after catalog.Position
+	// weighed is set once it was decided whether the read yields, that is
+	// leaves the primary to other work.
+	weighed, yields bool
 	// primaryOnly is set for a read that a replica refused as a write.
 	primaryOnly bool
 	// avoid is the instance that failed it last.
@@ -256,7 +268,7 @@
 		e.touch(s)
 		return s
 	}
-	s := &entryService{id: id, tokens: retryBurst, serve: firstServeGuess, unledSince: e.now}
+	s := &entryService{id: id, entry: e.options.VM, tokens: retryBurst, serve: firstServeGuess, unledSince: e.now}
 	s.isObserved = e.observes(id)
 	e.services[id] = s
 	e.touch(s)
@@ -277,7 +289,7 @@
 }
 
 func (s *entryService) addInstance(id catalog.InstanceID) *entryInstance {
-	i := &entryInstance{id: id, service: s}
+	i := &entryInstance{id: id, service: s, preference: rendezvous(s.entry, catalog.ServiceID(id))}
 	s.instances = append(s.instances, i)
 	sort.Slice(s.instances, func(a, b int) bool { return s.instances[a].id < s.instances[b].id })
 	return i
--- a/node/event.go
+++ b/node/event.go
@@ -80,6 +80,8 @@
 	// MaxAge, if not zero, is the age of data that the read accepts. Floor
 	// holds all the same.
 	MaxAge time.Duration
+	// Objective is the latency that the caller's operation should keep.
+	Objective time.Duration
 	// PrimaryOnly keeps a read at the primary.
 	PrimaryOnly bool
 	// Deadline is when the caller stops waiting.
@@ -136,6 +138,9 @@
 	CallerSaw bool
 	// CallerGone is set if the caller vanished while the request ran.
 	CallerGone bool
+	// Late is set if the answer did not come by the deadline. The shell goes on
+	// waiting for it for a while and sends ConnSettled or ConnLost then.
+	Late bool
 	// Reusable is set if Conn was read to its end and left clean. ConnLost
 	// follows if it is not.
 	Reusable bool
@@ -159,6 +164,11 @@
 	Evidence wire.Evidence
 }
 
+// ConnSettled says that a late answer has come and the connection is clean.
+type ConnSettled struct {
+	Conn catalog.ConnID
+}
+
 // ProbeDone follows Probe.
 type ProbeDone struct {
 	Conn catalog.ConnID
@@ -216,6 +226,7 @@
 	Control []catalog.VMID
 }
 
+func (ConnSettled) input()        {}
 func (SeedsChanged) input()       {}
 func (TimerFired) input()         {}
 func (PeerReceived) input()       {}
--- a/session/conn.go
+++ b/session/conn.go
@@ -21,8 +21,12 @@
 	Close func()
 }
 
-// errSilent says that no reply came in time.
-const errSilent = errors.ConstError("the upstream did not answer in time")
+const (
+	// errLate says that no reply came by the deadline; it may yet come.
+	errLate = errors.ConstError("the upstream did not answer by the deadline")
+	// errSilent says that no reply came at all.
+	errSilent = errors.ConstError("the upstream did not answer")
+)
 
 // errSpare says that a connection is not needed any more.
 const errSpare = errors.ConstError("the connection is not needed any more")
@@ -55,6 +59,8 @@
 	names map[prepared]string
 	last  int
 	timer *time.Timer
+	// owed counts the replies that nobody waits for any more.
+	owed int
 }
 
 func newConn(id catalog.ConnID, instance catalog.InstanceID, w Wire, lost func(wire.Evidence)) *Conn {
@@ -92,8 +98,8 @@
 	})
 }
 
-// Exchange sends commands and waits for their replies until the deadline, after
-// which the connection is of no use any more.
+// Exchange sends commands and waits for their replies until the deadline. After
+// errLate, Settle must come before the next use.
 func (c *Conn) Exchange(deadline time.Time, commands ...Command) ([]Reply, error) {
 	if err := c.wire.Send(commands); err != nil {
 		c.end(err, evidenceOf(err))
@@ -114,13 +120,44 @@
 		case <-c.gone:
 			return c.drained(out, len(commands))
 		case <-c.timer.C:
-			c.end(errSilent, wire.EvidenceNone)
-			return out, errSilent
+			c.owed = len(commands) - len(out)
+			return out, errLate
 		}
 	}
 	return out, nil
 }
 
+// Settle waits for replies that came too late, and rolls back what they left
+// open. It reports whether the connection is clean.
+func (c *Conn) Settle(rollback Command) bool {
+	end := time.NewTimer(lateTime)
+	defer end.Stop()
+	var last Reply
+	for ; c.owed > 0; c.owed-- {
+		select {
+		case last = <-c.replies:
+		case <-c.gone:
+			return false
+		case <-end.C:
+			c.end(errSilent, wire.EvidenceNone)
+			return false
+		}
+	}
+	if last.State == StateIdle {
+		return true
+	}
+	replies, err := c.Exchange(settleBy(), rollback)
+	if err != nil || replies[0].State != StateIdle {
+		c.end(errors.New("its transaction could not be rolled back"), wire.EvidenceNone)
+		return false
+	}
+	return true
+}
+
+// lateTime is how long a late reply is waited for. Opening another connection
+// costs the upstream more than a statement does.
+const lateTime = 2 * time.Second
+
 // drained takes the replies that came before the connection was lost.
 func (c *Conn) drained(out []Reply, want int) ([]Reply, error) {
 	for len(out) < want {
--- a/session/exchange.go
+++ b/session/exchange.go
@@ -29,6 +29,7 @@
 		replies, err := u.Exchange(end, prepare...)
 		if err != nil {
 			// Nothing that the caller asked for was sent.
+			done.Late = x.isLate(err)
 			return done, Reply{}
 		}
 		if failed, ok := firstFailure(replies); ok {
@@ -48,6 +49,7 @@
 	replies, err := u.Exchange(end, x.command())
 	if err != nil {
 		done.Outcome = node.OutcomeLost
+		done.Late = x.isLate(err)
 		return done, Reply{}
 	}
 	r := replies[0]
@@ -161,6 +163,16 @@
 	}
 }
 
+// isLate reports whether a reply may yet come, so that the connection can be
+// used again after that.
+func (x *exchange) isLate(err error) bool {
+	if !errors.Is(err, errLate) {
+		return false
+	}
+	x.undo()
+	return true
+}
+
 // settle rolls back what a failed statement has left open. It reports whether
 // the connection is clean.
 func (x *exchange) settle(last Reply) bool {
--- a/session/pool.go
+++ b/session/pool.go
@@ -21,6 +21,9 @@
 	Address  string
 }
 
+// ErrNotThere says that another upstream listens at the address.
+const ErrNotThere = errors.ConstError("another upstream listens there")
+
 // Status is an upstream's word of its place in its group.
 type Status struct {
 	Role     catalog.Role
@@ -110,6 +113,13 @@
 	return p.conns[id]
 }
 
+// settle waits for a late reply and gives the connection back.
+func (p *Pool) settle(id catalog.ConnID) {
+	if c := p.conn(id); c != nil && c.Settle(Command{Text: p.options.Dialect.Rollback()}) {
+		p.options.Feed(node.ConnSettled{Conn: id})
+	}
+}
+
 // forget drops a connection and reports whether it was still wanted.
 func (p *Pool) forget(id catalog.ConnID) bool {
 	p.mutex.Lock()
@@ -136,6 +146,7 @@
 	if err != nil {
 		done.Evidence = evidenceOf(err)
 		p.options.Feed(done)
+		c.end(err, wire.EvidenceNone)
 		return
 	}
 	done.Evidence = wire.EvidenceAlive
@@ -159,9 +170,9 @@
 func evidenceOf(err error) wire.Evidence {
 	var timeout net.Error
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNotThere):
 		return wire.EvidenceRefused
-	case errors.Is(err, errSilent), errors.Is(err, syscall.ETIMEDOUT):
+	case errors.Is(err, errSilent), errors.Is(err, errLate), errors.Is(err, syscall.ETIMEDOUT):
 		return wire.EvidenceSilent
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return wire.EvidenceSilent
--- a/session/request.go
+++ b/session/request.go
@@ -71,7 +71,7 @@
 	in := node.RequestArrived{
 		Request: id, Service: route.Service, Kind: kind, Class: classOf(route),
 		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
-		Deadline: now.Add(route.Timeout),
+		Deadline: now.Add(route.Timeout), Objective: route.Objective,
 	}
 	if c.tx != nil {
 		in.Held = c.tx.held
@@ -97,6 +97,9 @@
 				c.hold(v.Conn)
 			}
 			c.server.options.Feed(done)
+			if done.Late {
+				go c.server.options.Pool.settle(v.Conn)
+			}
 		case node.AnswerRequest:
 			o.verdict, o.floor, o.reason, o.retryAfter = v.Verdict, v.Floor, v.Reason, v.RetryAfter
 			end := c.server.options.Now()
--- a/session/survey.go
+++ b/session/survey.go
@@ -44,14 +44,25 @@
 
 // ask asks on a connection and keeps it if it is still good.
 func (s *Surveyor) ask(t Target, c *Conn, end time.Time) (Status, error) {
-	replies, err := c.Exchange(end, Command{Text: s.options.Dialect.Status()})
-	if err != nil {
-		return Status{}, err
+	for {
+		replies, err := c.Exchange(end, Command{Text: s.options.Dialect.Status()})
+		if err != nil {
+			c.end(err, wire.EvidenceNone)
+			return Status{}, err
+		}
+		if replies[0].Code == CodeBusy && time.Now().Add(busyPause).Before(end) {
+			time.Sleep(busyPause)
+			continue
+		}
+		s.keep(t, c)
+		return s.options.Status(replies[0])
 	}
-	s.keep(t, c)
-	return s.options.Status(replies[0])
 }
 
+// busyPause is the time between two questions to an upstream whose slots and
+// queue are full: one may come free any moment.
+const busyPause = 15 * time.Millisecond
+
 func (s *Surveyor) take(t Target) *Conn {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
