--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -257,7 +257,7 @@
 			spare = 1
 		}
 		least := 0
-		if i.id == i.service.primary.Instance {
+		if i.id == i.service.primary.Instance || i == e.nearest(i.service) {
 			least = 1
 		}
 		return min(max(inUse+i.short+spare, least), i.service.settings.Limits.Connections)
--- a/node/entry_pressure.go
+++ b/node/entry_pressure.go
@@ -83,3 +83,19 @@
 		return cmp.Compare(a.preference, b.preference)
 	})
 }
+
+// nearest is the replica that this entry would read from if all were alike. A
+// connection to it is kept open; others are opened when they are needed, since
+// a connection of each entry to each upstream is more than they admit.
+func (e *Entry) nearest(s *entryService) *entryInstance {
+	var best *entryInstance
+	for _, i := range s.instances {
+		if i.id == s.primary.Instance || !e.takesWork(i) || e.isBad(i) {
+			continue
+		}
+		if best == nil || i.own && !best.own || i.own == best.own && i.preference < best.preference {
+			best = i
+		}
+	}
+	return best
+}
