--- a/node/entry_probe.go
+++ b/node/entry_probe.go
@@ -16,6 +16,9 @@
 // once, and a refusal is confirmed by one attempt to connect.
 func (e *Entry) seeEvidence(i *entryInstance, v wire.Evidence) {
 	wasRefused := i.evidence == wire.EvidenceRefused
+	if !e.isBad(i) {
+		i.badSince = e.now
+	}
 	i.evidence, i.evidenceAt = v, e.now
 	if v == wire.EvidenceRefused {
 		i.known, i.isFresh = false, false
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -137,7 +137,9 @@
 	took   time.Duration
 	tookAt catalog.Instant
 	// askedAt is when work began there after it had none.
-	askedAt    catalog.Instant
+	askedAt catalog.Instant
+	// badSince is when the upstream was first refused or silent, if it is.
+	badSince   catalog.Instant
 	evidence   wire.Evidence
 	evidenceAt catalog.Instant
 	confirm    bool
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -9,7 +9,7 @@
 // placeWrite runs a write or begins a transaction at the leased primary.
 func (e *Entry) placeWrite(s *entryService, r *entryRequest, p *placement) bool {
 	i := e.primaryReady(s)
-	if i == nil {
+	if i == nil || e.options.ListsUpstreams && e.isBad(i) {
 		return e.awaitPrimary(s, r, p)
 	}
 	if i.hasSlot(r.Class) {
@@ -57,8 +57,8 @@
 		e.refuse(r, "this entry is stopping", retryLeast)
 		return true
 	}
-	if end := s.unledSince.Add(s.gap); s.unledSince != 0 && s.gap > 0 && !end.Before(r.Deadline) {
-		e.refuse(r, "the primary is being replaced", end.Sub(e.now))
+	if since, gap := e.outage(s); since != 0 && gap > 0 && !since.Add(gap).Before(r.Deadline) {
+		e.refuse(r, "the primary is being replaced", since.Add(gap).Sub(e.now))
 		return true
 	}
 	e.wake(e.report.answeredAt.Add(t.Lease + 2*t.Election + 1))
@@ -71,6 +71,26 @@
 	return e.awaitSlot(s, r, p)
 }
 
+// outage returns since when the service has been without a primary for this
+// entry, zero if it is not, and how long that takes as a rule.
+func (e *Entry) outage(s *entryService) (since catalog.Instant, gap time.Duration) {
+	since, gap = s.unledSince, s.gap
+	if !e.options.ListsUpstreams {
+		return since, gap
+	}
+	if i := s.primaryInstance(); since == 0 && i != nil && e.isBad(i) {
+		since = i.badSince
+	}
+	if gap == 0 {
+		gap = usualGap
+	}
+	return since, gap
+}
+
+// usualGap is how long a change of primary takes until one was seen: the time
+// to suspect it, a lease, and a promotion of 0.6 s.
+const usualGap = 1800 * time.Millisecond
+
 func (e *Entry) finishWrite(r *entryRequest, v RequestDone) {
 	switch v.Outcome {
 	case OutcomeCompleted:
