--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -45,6 +45,17 @@
 	l.grants = kept
 }
 
+// renew replaces the grants by one, where an entry gives up at once what a newer
+// grant does not cover. It reports whether the entry must be told: not if it
+// has a grant of as many connections for long enough.
+func (l *allocation) renew(connections int, until, now catalog.Instant) bool {
+	if len(l.grants) > 0 && l.grants[0].connections == connections && l.grants[0].until.Sub(now) > until.Sub(now)/2 {
+		return false
+	}
+	l.grants = nil
+	return true
+}
+
 // allocation returns an entry's allocation at an upstream, a new one if
 // there is none yet.
 func (c *Control) allocation(id catalog.InstanceID, vm catalog.VMID, site catalog.SiteID) *allocation {
@@ -85,7 +96,11 @@
 			continue
 		}
 		n := c.share(vm, v, s, u, w)
-		c.allocation(id, vm, v.site).give(grantView{connections: n, until: v.seenAt.Add(length)}, c.now)
+		l := c.allocation(id, vm, v.site)
+		if c.options.ListsUpstreams && !l.renew(n, v.seenAt.Add(length), c.now) {
+			continue
+		}
+		l.give(grantView{connections: n, until: v.seenAt.Add(length)}, c.now)
 		out = append(out, wire.Grant{Service: w.Service, Instance: id, Connections: n, Length: length})
 	}
 	return out
@@ -108,11 +123,34 @@
 	wanted := max(w.Wanted-local, 0)
 	grantable := c.grantable(s, u)
 	others, wants, starved := c.otherGrants(vm, id, u.said.Site, s)
-	most := grantable
+	most, least := grantable, 0
 	if starved {
 		most = fairShare(grantable, append(wants, wanted))
 	}
-	return max(min(wanted, most, grantable-others), 0)
+	if c.options.ListsUpstreams {
+		others += c.unserved(vm, s.ID, id)
+		if starved {
+			// Those who hold more give it up with their next report.
+			least = min(wanted, max(grantable/(len(wants)+1), 1))
+		}
+	}
+	return max(min(wanted, most, grantable-others), least)
+}
+
+// unserved counts the other entries of a service that hold nothing of an
+// upstream yet; one connection is set aside for each.
+func (c *Control) unserved(vm catalog.VMID, service catalog.ServiceID, id catalog.InstanceID) int {
+	if c.state.Primary(service).Instance != id {
+		return 0
+	}
+	n := 0
+	for name := range c.subscribers[service] {
+		l := c.allocations[id][name]
+		if name != vm && (l == nil || max(l.outstanding(c.now), l.want.Held) == 0) {
+			n++
+		}
+	}
+	return n
 }
 
 // grantable is how many connections of an upstream are not set aside for
--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -207,3 +207,38 @@
 		So(w.control.primaryGone(catalog.Primary{Service: "orders", Instance: "a"}), ShouldBeFalse)
 	})
 }
+
+// TestListedGrantsAreShared plays the moment after a restart: the first entries
+// to report want much, and the others must not wait until those grants run out.
+func TestListedGrantsAreShared(t *testing.T) {
+	Convey("every entry has a connection to the primary within two reports", t, func() {
+		const entries = 12
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		w.control.propose(registry.Change{Elect: &registry.Elect{Service: "orders", Epoch: 1, Instance: "a"}}, 0)
+		w.carryOut(w.control.effects)
+		has := map[catalog.VMID]int{}
+		for round := range 3 {
+			total := 0
+			for n := range entries {
+				vm := catalog.VMID(rune('a' + n))
+				w.step(PeerReceived{From: vm, Message: wire.Message{Report: &wire.Report{
+					VM: vm, Site: "s1", Sequence: uint64(round + 1), Services: []catalog.ServiceID{"orders"},
+					Wants: []wire.Want{{Service: "orders", Instance: "a", Wanted: 6, Held: has[vm]}},
+				}}})
+				for _, g := range w.lastAnswer(vm).Grants {
+					has[vm] = g.Connections
+				}
+				total += has[vm]
+			}
+			w.now = w.now.Add(200 * time.Millisecond)
+			if round > 0 {
+				So(total, ShouldBeLessThanOrEqualTo, 18)
+			}
+		}
+		for n := range entries {
+			So(has[catalog.VMID(rune('a'+n))], ShouldBeGreaterThan, 0)
+		}
+	})
+}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -29,8 +29,7 @@
 	upstreams wire.UpstreamsMark
 	// membersAt is when the entry was last told of the control VMs.
 	membersAt catalog.Instant
-	// wantsKept and primaries are those of the last report.
-	wantsKept bool
+	// primaries is that of the last report.
 	primaries uint64
 	// wants are those of the last report that told them.
 	wants []wire.Want
@@ -161,7 +160,7 @@
 	if !r.WantsKept {
 		c.takeWants(from, v, r.Wants)
 	}
-	v.wantsKept, v.primaries = r.WantsKept, r.Primaries
+	v.primaries = r.Primaries
 	if bad {
 		c.watchSuspects()
 	}
@@ -218,7 +217,7 @@
 	if !c.renewAll(a, vm, v, length) {
 		c.addLeases(a, vm, v, v.services, length)
 	}
-	if length > 0 && !v.leaving && !v.wantsKept {
+	if length > 0 && !v.leaving {
 		if c.options.Timings.Grant > 0 {
 			length = c.options.Timings.Grant
 		}
