--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -97,6 +97,10 @@
 	p.urgent = false
 	p.last, p.wasSent = e.now, true
 	p.next = e.now.Add(e.options.Timings.Report)
+	if e.options.ListsUpstreams && p.leader == "" {
+		// The next leader should be found soon after its election.
+		p.next = e.now.Add(e.options.Timings.Report / 2)
+	}
 	p.sent[p.sequence] = e.now
 	delete(p.sent, p.sequence-reportsKept)
 	delete(p.taken, p.sequence-reportsKept)
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -72,7 +72,8 @@
 }
 
 // outage returns since when the service has been without a primary for this
-// entry, zero if it is not, and how long that takes as a rule.
+// entry, zero if it is not, and how long that takes as a rule. That is not known
+// at an entry that has just started: there need not be any change of primary.
 func (e *Entry) outage(s *entryService) (since catalog.Instant, gap time.Duration) {
 	since, gap = s.unledSince, s.gap
 	if !e.options.ListsUpstreams {
@@ -81,7 +82,7 @@
 	if i := s.primaryInstance(); since == 0 && i != nil && e.isBad(i) {
 		since = i.badSince
 	}
-	if gap == 0 {
+	if gap == 0 && s.ledEpoch != 0 {
 		gap = usualGap
 	}
 	return since, gap
