--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -123,34 +124,57 @@
 	wanted := max(w.Wanted-local, 0)
 	grantable := c.grantable(s, u)
 	others, wants, starved := c.otherGrants(vm, id, u.said.Site, s)
-	most, least := grantable, 0
+	if c.options.ListsUpstreams {
+		return c.shareListed(vm, s, u, w, grantable-others, starved, append(wants, wanted))
+	}
+	most := grantable
 	if starved {
 		most = fairShare(grantable, append(wants, wanted))
 	}
-	if c.options.ListsUpstreams {
-		others += c.unserved(vm, s.ID, id)
+	return max(min(wanted, most, grantable-others), 0)
+}
+
+// shareListed is the entry's part where an upstream admits fewer connections
+// than there are entries. They go to those whose requests want them; one that
+// no request uses is taken back as soon as another entry lacks it.
+func (c *Control) shareListed(vm catalog.VMID, s catalog.Service, u *upstreamView, w wire.Want, free int, starved bool, wants []int) int {
+	id := u.said.Instance
+	if w.Idle {
 		if starved {
-			// Those who hold more give it up with their next report.
-			least = min(wanted, max(grantable/(len(wants)+1), 1))
+			return 0
 		}
+		return max(min(w.Wanted, free), 0)
 	}
-	return max(min(wanted, most, grantable-others), least)
+	most := w.Wanted
+	if starved {
+		most = min(most, fairShare(c.grantable(s, u), wants))
+	}
+	for free < most && c.reclaim(vm, s.ID, id) {
+		free++
+	}
+	if free <= 0 && len(wants) <= c.grantable(s, u) {
+		// Those who hold more than their part give it up with their next
+		// report.
+		return min(most, 1)
+	}
+	return max(min(most, free), 0)
 }
 
-// unserved counts the other entries of a service that hold nothing of an
-// upstream yet; one connection is set aside for each.
-func (c *Control) unserved(vm catalog.VMID, service catalog.ServiceID, id catalog.InstanceID) int {
-	if c.state.Primary(service).Instance != id {
-		return 0
-	}
-	n := 0
-	for name := range c.subscribers[service] {
-		l := c.allocations[id][name]
-		if name != vm && (l == nil || max(l.outstanding(c.now), l.want.Held) == 0) {
-			n++
+// reclaim takes an idle connection back from another entry. It reports whether
+// there was one.
+func (c *Control) reclaim(vm catalog.VMID, service catalog.ServiceID, id catalog.InstanceID) bool {
+	for _, name := range sortedVMs(slices.Collect(maps.Keys(c.allocations[id]))) {
+		l, v := c.allocations[id][name], c.entries[name]
+		if name == vm || v == nil || !l.want.Idle || max(l.outstanding(c.now), l.want.Held) == 0 {
+			continue
 		}
+		l.grants, l.want.Held = nil, 0
+		a := c.newAnswer(v)
+		a.Grants = []wire.Grant{{Service: service, Instance: id, Length: c.options.Timings.Grant}}
+		c.emit(SendPeer{To: name, Message: wire.Message{Answer: a}})
+		return true
 	}
-	return n
+	return false
 }
 
 // grantable is how many connections of an upstream are not set aside for
@@ -170,6 +194,9 @@
 		held := max(l.outstanding(c.now), l.want.Held)
 		sum += held
 		wanted := l.want.Wanted
+		if l.want.Idle {
+			continue
+		}
 		if l.site == site {
 			wanted -= s.Limits.LocalShare
 		}
--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -242,3 +242,38 @@
 		}
 	})
 }
+
+// TestListedIdleIsTakenBack plays an upstream that admits fewer connections than
+// there are entries.
+func TestListedIdleIsTakenBack(t *testing.T) {
+	Convey("an entry whose request lacks a connection gets one that another keeps idle", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		report := func(n int, sequence uint64, idle bool, held int) int {
+			vm := catalog.VMID(rune('a' + n))
+			w.sent = nil
+			w.step(PeerReceived{From: vm, Message: wire.Message{Report: &wire.Report{
+				VM: vm, Site: "s1", Sequence: sequence, Services: []catalog.ServiceID{"orders"},
+				Wants: []wire.Want{{Service: "orders", Instance: "a", Wanted: 1, Held: held, Idle: idle}},
+			}}})
+			for _, g := range w.lastAnswer(vm).Grants {
+				return g.Connections
+			}
+			return -1
+		}
+		// 18 connections can be granted; 18 entries keep one idle each.
+		for n := range 18 {
+			So(report(n, 1, true, 0), ShouldEqual, 1)
+		}
+		So(report(18, 1, true, 0), ShouldEqual, 0)
+		So(report(19, 1, false, 0), ShouldEqual, 1)
+		taken := 0
+		for _, m := range w.sent {
+			if a := m.Message.Answer; m.To != "t" && a != nil && len(a.Grants) == 1 && a.Grants[0].Connections == 0 {
+				taken++
+			}
+		}
+		So(taken, ShouldEqual, 1)
+	})
+}
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -209,7 +209,7 @@
 	}
 	missing := e.target(i) - i.open()
 	room := e.allowed(i, e.now) - len(i.conns)
-	if missing > room && e.wanted(i) > i.wantedTold {
+	if missing > room && e.wantedNow(i) > i.wantedTold {
 		e.report.urgent = true
 	}
 	missing = min(missing, room)
@@ -256,11 +256,7 @@
 		if e.worthProbing(i) {
 			spare = 1
 		}
-		least := 0
-		if i.id == i.service.primary.Instance || i == e.nearest(i.service) {
-			least = 1
-		}
-		return min(max(inUse+i.short+spare, least), i.service.settings.Limits.Connections)
+		return min(max(inUse+i.short+spare, e.leastConns(i)), i.service.settings.Limits.Connections)
 	}
 	least := 1
 	if e.inUse(i.service) {
@@ -324,6 +320,28 @@
 	i.demand[0] = max(i.demand[0], inUse)
 }
 
+// leastConns is how many connections are kept while no request uses them.
+func (e *Entry) leastConns(i *entryInstance) int {
+	if i.id == i.service.primary.Instance || i == e.nearest(i.service) {
+		return 1
+	}
+	return 0
+}
+
+// demanded is the most connections that requests have used of late.
+func (i *entryInstance) demanded() int {
+	return max(i.demand[0], i.demand[1])
+}
+
+// wantedNow is what requests want; those kept idle do not count where
+// connections are scarce.
+func (e *Entry) wantedNow(i *entryInstance) int {
+	if e.options.ListsUpstreams {
+		return i.demanded()
+	}
+	return e.wanted(i)
+}
+
 // wanted is what the work of the last second would use, and one for probes.
 func (e *Entry) wanted(i *entryInstance) int {
 	if !e.takesWork(i) {
@@ -332,6 +350,9 @@
 	if e.options.EqualShares {
 		return i.equalShare(len(e.options.Peers))
 	}
+	if e.options.ListsUpstreams {
+		return min(max(i.demanded(), e.leastConns(i)), i.service.settings.Limits.Connections)
+	}
 	n := max(i.demand[0], i.demand[1]) + 1
 	if e.inUse(i.service) {
 		n = max(n, 2)
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -173,7 +173,7 @@
 // sameWants reports whether nothing but the connections held has changed.
 func sameWants(x, y []wire.Want) bool {
 	return slices.EqualFunc(x, y, func(a, b wire.Want) bool {
-		return a.Instance == b.Instance && a.Service == b.Service && a.Wanted == b.Wanted
+		return a.Instance == b.Instance && a.Service == b.Service && a.Wanted == b.Wanted && a.Idle == b.Idle
 	})
 }
 
@@ -182,7 +182,7 @@
 func (e *Entry) lacksGrant(wants []wire.Want) bool {
 	return slices.ContainsFunc(wants, func(w wire.Want) bool {
 		i := e.services[w.Service].instance(w.Instance)
-		return i != nil && w.Wanted > e.allowed(i, e.now)
+		return i != nil && !w.Idle && w.Wanted > e.allowed(i, e.now)
 	})
 }
 
--- a/node/entry_subscribe.go
+++ b/node/entry_subscribe.go
@@ -98,10 +98,11 @@
 func (e *Entry) reportWant(m *wire.Report, i *entryInstance) {
 	e.noteDemand(i)
 	wanted, held := e.wanted(i), len(i.conns)
-	i.wantedTold = wanted
+	i.wantedTold = e.wantedNow(i)
 	if max(wanted, held) > i.standingShare() {
 		m.Wants = append(m.Wants, wire.Want{
 			Service: i.service.id, Instance: i.id, Held: held, Wanted: wanted,
+			Idle: e.options.ListsUpstreams && i.demanded() == 0,
 		})
 	}
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -68,6 +68,9 @@
 	Held int `cbor:"3,keyasint"`
 	// Wanted is what the entry's present load would use.
 	Wanted int `cbor:"4,keyasint"`
+	// Idle is set if no request uses them at present, so that others who lack
+	// connections go first.
+	Idle bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Report is what an entry tells control, over and over. Its answer renews the
