--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -102,5 +102,6 @@
 	h.log.Info("A request was decided.", "part", "request", "request", d.Request, "database", d.Database,
 		"service", string(d.Service), "statement", d.Verb.String(), "verdict", d.Verdict, "cause", d.Reason,
 		"instance", string(d.Instance), "tries", d.Tries, "floor", d.Floor, "version", uint64(d.Version),
+		"epoch", uint64(d.Epoch), "lease-left-ms", d.LeaseLeft.Milliseconds(),
 		"took-us", d.Took.Microseconds(), "waited-us", d.Waited.Microseconds())
 }
--- a/node/effect.go
+++ b/node/effect.go
@@ -91,6 +91,10 @@
 	RetryAfter time.Duration
 	// Replica is set if a replica gave the answer.
 	Replica bool
+	// Epoch is that of the primary known, and LeaseLeft how long its lease
+	// still ran; negative once it had run out. Both are for the log.
+	Epoch     catalog.Epoch
+	LeaseLeft time.Duration
 }
 
 // Persist writes to the data folder and syncs. Persisted follows. What stands
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -238,6 +238,9 @@
 
 func (e *Entry) answer(r *entryRequest, a AnswerRequest) {
 	delete(e.requests, r.Request)
+	if s := r.service; s != nil {
+		a.Epoch, a.LeaseLeft = s.primary.Epoch, s.leaseUntil.Sub(e.now)
+	}
 	e.emit(a)
 	switch {
 	case a.Verdict == VerdictNotRun:
--- a/session/request.go
+++ b/session/request.go
@@ -45,6 +45,9 @@
 	Tries int
 	// Floor is the position that was asked for.
 	Floor catalog.Position
+	// Epoch is that of the primary known, LeaseLeft how long its lease ran.
+	Epoch     catalog.Epoch
+	LeaseLeft time.Duration
 	// Version is that of the configuration in force.
 	Version catalog.Version
 	Took    time.Duration
@@ -104,6 +107,7 @@
 			o.verdict, o.floor, o.reason, o.retryAfter = v.Verdict, v.Floor, v.Reason, v.RetryAfter
 			end := c.server.options.Now()
 			o.late = !end.Before(in.Deadline)
+			d.Epoch, d.LeaseLeft = v.Epoch, v.LeaseLeft
 			d.Verdict, d.Reason, d.Took = verdictNames[v.Verdict], v.Reason, end.Sub(now)
 			if ranAt != 0 {
 				d.Waited = ranAt.Sub(now)
