--- a/node/entry_listed_test.go
+++ b/node/entry_listed_test.go
@@ -354,3 +354,12 @@
 		So(a.Verdict, ShouldEqual, VerdictUnknown)
 	})
 }
+
+func TestListedWaitCountsSlots(t *testing.T) {
+	Convey("the wait for a primary goes by the slots that it announced", t, func() {
+		w := newListedEntry()
+		s := w.entry.services["orders"]
+		s.serve = 100 * time.Millisecond
+		So(s.waitFor(3), ShouldEqual, 200*time.Millisecond)
+	})
+}
--- a/node/entry_pressure.go
+++ b/node/entry_pressure.go
@@ -45,7 +45,7 @@
 	// Of reads that all yield the primary hears nothing, so some go on: the
 	// square of the ratio, so that at four times the load that the primary can
 	// take the time settles at twice the room, which is the objective.
-	return e.drawBelow(expected) >= room || e.drawBelow(expected) >= room
+	return max(e.drawBelow(expected), e.drawBelow(expected)) >= room
 }
 
 // drawBelow returns a random time below a bound.
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -73,6 +73,9 @@
 // waitFor estimates how long n requests ahead take.
 func (s *entryService) waitFor(n int) time.Duration {
 	slots := max(1, s.settings.Limits.Slots)
+	if i := s.primaryInstance(); i != nil {
+		slots = max(slots, i.slots())
+	}
 	return s.serve * time.Duration(n+1) / time.Duration(slots)
 }
 
