soak: the real programs against stand-ins of the platform, under faults

Processes of the daemon as control and entries, a stand-in group of upstreams behind routes that delay, silence and reset, promotions, configurations and callers. Faults come from outside and overlap: kill, pause, planned stop, reload, all of control killed, an upstream that crashes, goes silent, is delayed, reset, or falls behind. Checked meanwhile: a statement takes effect once, nothing that a caller was promised is not kept is committed, reads are as fresh as their route says, answers are the caller's own, tokens have one holder, no older configuration is shown, and service comes back. make soak SEEDS=n; a short one is part of make check.

--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,20 @@
 test:
 	sh scripts/test.sh
 
+# The real programs under faults from outside; SEEDS, SEED_BASE, LENGTH, LANES.
+LENGTH ?= 12s
+LANES ?= 4
+.PHONY: soak
+soak: build
+	$(BIN)/kingcupknot-soak --program $(BIN)/kingcupknotd --seeds $(SEEDS) --seed-base $(SEED_BASE) --length $(LENGTH) --lanes $(LANES)
+
+# A short soak: fixed seeds, those that once failed, and a fresh one.
+.PHONY: soak-short
+soak-short: build
+	sh scripts/soak-short.sh
+
 .PHONY: check
-check: lint build test
+check: lint build test soak-short
 
 .PHONY: run
 run: build
--- /dev/null
+++ b/cmd/kingcupknot-soak/main.go
@@ -0,0 +1,109 @@
+// Kingcupknot-soak runs the daemon as processes under faults, one seed after the
+// other, and prints a report for each.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/kingcupknot/kingcupknot/platform/soak"
+	"github.com/kingcupknot/kingcupknot/program"
+)
+
+type options struct {
+	Program string        `long:"program" value-name:"FILE" default:"bin/kingcupknotd" description:"the daemon"`
+	Folder  string        `long:"folder" value-name:"FOLDER" default:"run/soak" description:"where settings, data and logs go"`
+	Seeds   int           `long:"seeds" default:"3" description:"how many seeds to run"`
+	Base    uint64        `long:"seed-base" default:"1" description:"the first seed"`
+	Length  time.Duration `long:"length" default:"12s" description:"time with faults for each seed"`
+	Control int           `long:"control" default:"3" description:"control processes"`
+	Entries int           `long:"entries" default:"3" description:"entry processes"`
+	Callers int           `long:"callers" default:"24" description:"callers"`
+	Lanes   int           `long:"lanes" default:"1" description:"seeds that run side by side"`
+}
+
+func main() {
+	var o options
+	program.Main("kingcupknot-soak", &o, func() error { return run(o) })
+}
+
+func run(o options) error {
+	seeds := make(chan uint64)
+	go func() {
+		defer close(seeds)
+		for n := range o.Seeds {
+			seeds <- o.Base + uint64(n)
+		}
+	}()
+	var lanes sync.WaitGroup
+	var mutex sync.Mutex
+	failed := 0
+	total := map[string]int{}
+	for range o.Lanes {
+		lanes.Add(1)
+		go func() {
+			defer lanes.Done()
+			for seed := range seeds {
+				bad := runSeed(o, seed, &mutex, total)
+				mutex.Lock()
+				failed += bad
+				mutex.Unlock()
+			}
+		}()
+	}
+	lanes.Wait()
+	text, err := json.Marshal(total)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Printf("%d seeds, %d failed; faults caused: %s\n", o.Seeds, failed, text)
+	if failed > 0 {
+		return errors.Errorf("%d of %d seeds failed", failed, o.Seeds)
+	}
+	return nil
+}
+
+// runSeed runs one seed, prints its report and returns 1 if it failed. The logs
+// of a failed seed are kept.
+func runSeed(o options, seed uint64, mutex *sync.Mutex, total map[string]int) int {
+	folder, err := filepath.Abs(filepath.Join(o.Folder, fmt.Sprint(seed)))
+	if err == nil {
+		err = os.RemoveAll(folder)
+	}
+	var report *soak.Report
+	if err == nil {
+		report, err = soak.Run(soak.Options{
+			Program: o.Program, Folder: folder, Seed: seed, Length: o.Length,
+			Control: o.Control, Entries: o.Entries, Callers: o.Callers,
+		})
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return 1
+	}
+	for name, n := range report.Faults {
+		total[name] += n
+	}
+	text, err := json.Marshal(report)
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return 1
+	}
+	fmt.Println(string(text))
+	if len(report.Violations) > 0 {
+		fmt.Printf("seed %d failed; logs in %s; again: bin/kingcupknot-soak --seeds 1 --seed-base %d --length %s\n", seed, filepath.Join(o.Folder, fmt.Sprint(seed)), seed, o.Length)
+		return 1
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+	}
+	return 0
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// Reset resets all connections; new ones work.
+func (r *Route) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			// The close below then resets the connection.
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // State returns the delay and whether the route is cut.
 func (r *Route) State() (delay time.Duration, cut bool) {
 	r.mu.Lock()
