node: tell grants again, and upstreams that came before their service

An answer that is lost while a link opens took its grant with it, and control told it again only after five seconds; and an upstream that announced itself before the first configuration counted as told to the entries though it was not.

--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -98,8 +98,11 @@
 		}
 		n := c.share(vm, v, s, u, w)
 		l := c.allocation(id, vm, v.site)
-		if c.options.ListsUpstreams && !l.renew(n, v.seenAt.Add(length), c.now) {
-			continue
+		if c.options.ListsUpstreams {
+			// An entry that tells its wants again may have missed the answer.
+			if !l.renew(n, v.seenAt.Add(length), c.now) && v.wantsKept {
+				continue
+			}
 		}
 		l.give(grantView{connections: n, until: v.seenAt.Add(length)}, c.now)
 		out = append(out, wire.Grant{Service: w.Service, Instance: id, Connections: n, Length: length})
--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -277,3 +277,40 @@
 		So(taken, ShouldEqual, 1)
 	})
 }
+
+func TestListedGrantIsToldAgain(t *testing.T) {
+	Convey("an entry that missed the answer with its grant gets it with the next one", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(listedConfiguration(1, time.Second))
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		report := func(sequence uint64, kept bool) []wire.Grant {
+			r := &wire.Report{VM: "e1", Sequence: sequence, Services: []catalog.ServiceID{"orders"}, WantsKept: kept}
+			if !kept {
+				r.Wants = []wire.Want{{Service: "orders", Instance: "a", Wanted: 2}}
+			}
+			w.step(PeerReceived{From: "e1", Message: wire.Message{Report: r}})
+			return w.lastAnswer("e1").Grants
+		}
+		So(report(1, false), ShouldHaveLength, 1)
+		So(report(2, false), ShouldHaveLength, 1)
+		So(report(3, true), ShouldBeEmpty)
+	})
+}
+
+func TestListedUpstreamsBeforeTheirService(t *testing.T) {
+	Convey("an upstream that announced itself before its service was configured is not forgotten", t, func() {
+		w := newListedControl(quorum.Saved{})
+		w.ask(Command{Announce: &Announce{Announcement: said("a", catalog.RolePrimary, 1)}})
+		told := 0
+		mark := wire.UpstreamsMark{}
+		report := func(sequence uint64) {
+			w.step(PeerReceived{From: "e1", Message: wire.Message{Report: &wire.Report{VM: "e1", Sequence: sequence, Upstreams: mark}}})
+			a := w.lastAnswer("e1")
+			told, mark = told+len(a.Upstreams), a.UpstreamsAt
+		}
+		report(1)
+		w.ask(listedConfiguration(1, time.Second))
+		report(2)
+		So(told, ShouldEqual, 1)
+	})
+}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -29,7 +29,8 @@
 	upstreams wire.UpstreamsMark
 	// membersAt is when the entry was last told of the control VMs.
 	membersAt catalog.Instant
-	// primaries is that of the last report.
+	// wantsKept and primaries are those of the last report.
+	wantsKept bool
 	primaries uint64
 	// wants are those of the last report that told them.
 	wants []wire.Want
@@ -160,7 +161,7 @@
 	if !r.WantsKept {
 		c.takeWants(from, v, r.Wants)
 	}
-	v.primaries = r.Primaries
+	v.wantsKept, v.primaries = r.WantsKept, r.Primaries
 	if bad {
 		c.watchSuspects()
 	}
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -90,8 +92,10 @@
 	if have.Leader == c.options.VM {
 		since = have.Revision
 	}
-	for _, s := range c.state.Services {
-		for _, u := range c.instancesOf(s.ID) {
+	// Those of services that are not configured yet are told too: the mark
+	// says that the entry has all.
+	for _, id := range slices.Sorted(maps.Keys(c.groups)) {
+		for _, u := range c.instancesOf(id) {
 			if u.revision > since {
 				a.Upstreams = append(a.Upstreams, u.said)
 			}
