daemon: one copy of what both ways to run a process share

Servers, the end of a process, the opening of the log and the wait for callers stood twice, for the settings of our own and for the platform's.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -93,28 +93,13 @@
 	}
 }
 
-// openLog opens the data folder. An empty one starts a member of a new
-// system if that was asked for, and else a new incarnation without a vote.
+// openLog opens the data folder. An empty one starts a member of a new system
+// if that was asked for, and else a new incarnation without a vote.
 func (s *shared) openLog() (*wal.Log, quorum.Saved, error) {
 	if s.options.Data == "" {
 		return nil, quorum.Saved{}, errors.New("a control VM needs a data folder; give --data")
 	}
-	store, err := wal.Open(s.options.Data)
-	if err != nil {
-		return nil, quorum.Saved{}, errors.Trace(err)
-	}
-	saved, found, err := store.Load()
-	if err == nil && !found {
-		err = s.initialise(store)
-		if err == nil {
-			saved, _, err = store.Load()
-		}
-	}
-	if err != nil {
-		_ = store.Close()
-		return nil, quorum.Saved{}, errors.Trace(err)
-	}
-	return store, saved, nil
+	return openLog(s.options.Data, s.initialise)
 }
 
 func (s *shared) initialise(store *wal.Log) error {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,8 +37,7 @@
 	log     logr.Logger
 	metrics *telemetry.Metrics
 	tracing *telemetry.Tracing
-	servers []*http.Server
-	stopped chan error
+	process
 }
 
 // headerTime bounds how long a peer may take for its request's header.
@@ -51,7 +50,7 @@
 		options: o,
 		clock:   NewClock(),
 		log:     telemetry.NewLogger(string(o.Settings.Log.Level)).WithValues("vm", string(o.VM.Name)),
-		stopped: make(chan error, 1),
+		process: newProcess(),
 	}
 	s.metrics = telemetry.NewMetrics(nil)
 	tracing, err := telemetry.Tracer(o.Settings.Trace.File, string(o.VM.Name))
@@ -69,9 +68,7 @@
 }
 
 func (s *shared) close() {
-	for _, h := range s.servers {
-		_ = h.Close()
-	}
+	s.closeServers()
 	if s.hub != nil {
 		s.hub.Close()
 	}
@@ -81,26 +78,12 @@
 	_ = s.tracing.Close(ctx)
 }
 
-// fail ends the daemon with an error, or without one after a planned stop.
-func (s *shared) fail(err error) {
-	select {
-	case s.stopped <- err:
-	default:
-	}
-}
-
 func (s *shared) listen(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Annotatef(err, "listen at %s", address)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
-	s.servers = append(s.servers, server)
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.fail(err)
-		}
-	}()
+	s.serve(l, h)
 	return nil
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -74,28 +74,12 @@
 		}
 	}()
 	telemetry.Write(s.log, false, "daemon", "Runs as entry.", nil)
-	return s.wait(ctx, drain, callers.Drain, func() { s.letLeave(ctx, callers.Idle) })
+	return s.wait(ctx, drain, callers.Drain, func() { letLeave(ctx, s.options.Settings.Timings.Drain, callers.Idle) })
 }
 
 // leaveEvery is the time between two looks at whether all callers have left.
 const leaveEvery = 5 * time.Millisecond
 
-// letLeave waits until no caller is connected, so that the last answers reach
-// them, at the latest until the settings' time for a stop is over.
-func (s *shared) letLeave(ctx context.Context, idle func() bool) {
-	ctx, cancel := context.WithTimeout(ctx, s.options.Settings.Timings.Drain)
-	defer cancel()
-	ticker := time.NewTicker(leaveEvery)
-	defer ticker.Stop()
-	for !idle() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 func (s *shared) entryOptions() node.EntryOptions {
 	c := s.options.Settings
 	var near []catalog.VMID
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -31,8 +31,7 @@
 	lines    *telemetry.Lines
 	log      logr.Logger
 	metrics  *telemetry.Metrics
-	servers  []*http.Server
-	stopped  chan error
+	process
 }
 
 // hostedTimings fit sites a few milliseconds apart and VMs with part of a core,
@@ -66,7 +65,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	h := &hosted{path: path, settings: s, clock: NewClock(), stopped: make(chan error, 1)}
+	h := &hosted{path: path, settings: s, clock: NewClock(), process: newProcess()}
 	h.lines = telemetry.NewLines(os.Stdout)
 	defer h.lines.Close()
 	h.log = telemetry.NewLineLogger(h.lines).WithValues("vm", s.Name)
@@ -88,35 +87,20 @@
 }
 
 func (h *hosted) close() {
-	for _, s := range h.servers {
-		_ = s.Close()
-	}
+	h.closeServers()
 	if h.hub != nil {
 		h.hub.Close()
 	}
 	_ = h.metrics.Close()
 }
 
-func (h *hosted) fail(err error) {
-	select {
-	case h.stopped <- err:
-	default:
-	}
-}
-
 // listen serves HTTP at an address.
 func (h *hosted) listen(address string, handler http.Handler) error {
 	l, err := socket.ListenConfig().Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return errors.Annotatef(err, "listen at %s", address)
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime}
-	h.servers = append(h.servers, s)
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			h.fail(err)
-		}
-	}()
+	h.serve(l, handler)
 	return nil
 }
 
--- a/daemon/hosted_control.go
+++ b/daemon/hosted_control.go
@@ -28,7 +28,7 @@
 
 // runControl runs a control VM.
 func (h *hosted) runControl(ctx context.Context, drain <-chan struct{}) error {
-	store, saved, err := h.openLog()
+	store, saved, err := openLog(h.settings.DataFolder, h.initialise)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -77,27 +77,8 @@
 	return h.wait(ctx, drain, func() {}, func() {})
 }
 
-// openLog opens the data folder. At the system's first start the seeds are its
-// first members; any other VM with an empty folder asks them to join.
-func (h *hosted) openLog() (*wal.Log, quorum.Saved, error) {
-	store, err := wal.Open(h.settings.DataFolder)
-	if err != nil {
-		return nil, quorum.Saved{}, errors.Trace(err)
-	}
-	saved, found, err := store.Load()
-	if err == nil && !found {
-		err = h.initialise(store)
-		if err == nil {
-			saved, _, err = store.Load()
-		}
-	}
-	if err != nil {
-		_ = store.Close()
-		return nil, quorum.Saved{}, errors.Trace(err)
-	}
-	return store, saved, nil
-}
-
+// initialise fills an empty data folder. At the system's first start the seeds
+// are its first members; any other VM asks them to join.
 func (h *hosted) initialise(store *wal.Log) error {
 	var members []quorum.Member
 	isSeed := false
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -70,25 +69,10 @@
 		callers.Drain()
 	}, func() {
 		_ = listener.Close()
-		h.letLeave(ctx, callers.Idle)
+		letLeave(ctx, stopReserve/2, callers.Idle)
 	})
 }
 
-// letLeave gives the last answers time to reach their callers.
-func (h *hosted) letLeave(ctx context.Context, idle func() bool) {
-	ctx, cancel := context.WithTimeout(ctx, stopReserve/2)
-	defer cancel()
-	ticker := time.NewTicker(leaveEvery)
-	defer ticker.Stop()
-	for !idle() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 func (h *hosted) poolOptions() session.PoolOptions {
 	return session.PoolOptions{
 		Feed: func(in node.Input) { h.loop.Feed(in) }, Now: h.clock.Now,
