--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -115,27 +115,11 @@
 // wait returns when the daemon is stopped. A drain asks the reducer to stop
 // and gives it the time of the settings; begin runs before and end after that.
 func (s *shared) wait(ctx context.Context, drain <-chan struct{}, begin, end func()) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case err := <-s.stopped:
-		return err
-	case <-drain:
-	}
-	telemetry.Write(s.log, false, "daemon", "Stops, and lets work in progress end.", nil)
-	begin()
-	s.loop.Feed(node.DrainAsked{})
-	select {
-	case <-ctx.Done():
-		return nil
-	case err := <-s.stopped:
-		if err == nil {
-			end()
-		}
-		return err
-	case <-time.After(s.options.Settings.Timings.Drain + time.Second):
-		return errors.New("the stop took longer than settings allow")
-	}
+	return s.await(ctx, drain, s.options.Settings.Timings.Drain+time.Second, func() {
+		telemetry.Write(s.log, false, "daemon", "Stops, and lets work in progress end.", nil)
+		begin()
+		s.loop.Feed(node.DrainAsked{})
+	}, end)
 }
 
 // runCommon carries out the effects that both roles have.
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -220,25 +220,9 @@
 // asked to stop, end after it has.
 func (h *hosted) wait(ctx context.Context, drain <-chan struct{}, begin, end func()) error {
 	h.watchSettings(ctx)
-	select {
-	case <-ctx.Done():
-		return nil
-	case err := <-h.stopped:
-		return err
-	case <-drain:
-	}
-	h.log.Info("A planned stop begins.", "part", "daemon")
-	begin()
-	h.loop.Feed(node.DrainAsked{})
-	select {
-	case <-ctx.Done():
-		return nil
-	case err := <-h.stopped:
-		if err == nil {
-			end()
-		}
-		return err
-	case <-time.After(h.settings.StopTime):
-		return errors.New("the stop took longer than settings allow")
-	}
+	return h.await(ctx, drain, h.settings.StopTime, func() {
+		h.log.Info("A planned stop begins.", "part", "daemon")
+		begin()
+		h.loop.Feed(node.DrainAsked{})
+	}, end)
 }
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -41,6 +41,30 @@
 	}()
 }
 
+// await returns when the daemon is stopped. A drain calls begin, which asks the
+// reducer to stop; end runs after a stop that took no longer than most.
+func (p *process) await(ctx context.Context, drain <-chan struct{}, most time.Duration, begin, end func()) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-p.stopped:
+		return err
+	case <-drain:
+	}
+	begin()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-p.stopped:
+		if err == nil {
+			end()
+		}
+		return err
+	case <-time.After(most):
+		return errors.New("the stop took longer than settings allow")
+	}
+}
+
 func (p *process) closeServers() {
 	for _, h := range p.servers {
 		// The process ends; what its servers still held ends with it.
--- a/node/control_failover.go
+++ b/node/control_failover.go
@@ -48,8 +48,6 @@
 	// epoch is the one being replaced up to phaseElect, the new one after.
 	epoch  catalog.Epoch
 	target catalog.InstanceID
-	// electing is the epoch that was proposed last.
-	electing catalog.Epoch
 	// from is the primary that is replaced.
 	from      catalog.InstanceID
 	startedAt catalog.Instant
