node: wait for a replica that may hold a synchronous write

Cause: where upstreams announce themselves the size of a group is not known and was taken as 1, so under sync_replicas 1 one answer was enough to elect by: with the primary and the replica that holds its last writes out of reach the other replica was promoted and acknowledged writes were gone. Ruled out: counting all upstreams ever heard of, since one that is lost for good would keep a service without a primary for ever.

Change: the answers must be so many that each set of holders has one among them, counted over the replicas that announced themselves in the last 15 s; the primary itself, if it answers as such, is enough.

--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -314,3 +314,42 @@
 		So(told, ShouldEqual, 1)
 	})
 }
+
+func TestSynchronousWritesSurviveThePrimary(t *testing.T) {
+	Convey("with one synchronous replica a lost primary is not replaced by a replica that may lack its writes", t, func() {
+		o := newBench(t, catalog.AckPrimary)
+		o.control.options.Services[0].SyncReplicas = 1
+		// Such a service does not say how many upstreams it has.
+		o.control.options.Services[0].Instances = 1
+		o.lead()
+		last := o.positions["b"]
+		delete(o.positions, "a")
+		delete(o.positions, "b")
+		for _, vm := range []catalog.VMID{"e1", "e2", "e3"} {
+			o.report(vm, refused(0, 50*ms))
+			o.fence(vm)
+		}
+		for range 10 {
+			o.advance(time.Second)
+			o.announce()
+		}
+		So(o.primary().Instance, ShouldEqual, catalog.InstanceID("a"))
+
+		Convey("until the replica that may hold them answers", func() {
+			o.positions["b"] = last
+			o.announce()
+			o.advance(time.Second)
+			So(o.primary().Instance, ShouldEqual, catalog.InstanceID("b"))
+			So(o.primary().Ready, ShouldBeTrue)
+		})
+
+		Convey("or has been silent for long", func() {
+			for range 6 {
+				o.advance(time.Second)
+				o.announce()
+			}
+			So(o.primary().Instance, ShouldEqual, catalog.InstanceID("c"))
+			So(o.primary().Ready, ShouldBeTrue)
+		})
+	})
+}
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -74,24 +74,54 @@
 	}
 }
 
-// answersNeeded is the least number of answers to elect by: one, or under
-// replicated so many that every majority of the group has one among them.
+// answersNeeded is the least number of eligible answers to elect by: one, or
+// under replicated so many that every majority of the group has one among them.
 func answersNeeded(s catalog.Service) int {
-	if s.SyncReplicas > 0 {
-		// A write is held by that many of the replicas, whichever they are.
-		return max(s.Instances-1-s.SyncReplicas+1, 1)
-	}
 	if s.Ack != catalog.AckReplicated {
 		return 1
 	}
 	return s.Instances - (s.Instances/2 + 1) + 1
 }
 
-// enoughAnswers reports whether every majority of the group has a member among
-// the eligible answers, so that a replicated write can't be missed, and whether
-// no better answer can be expected soon.
+// holdsWrites reports whether one of the eligible answers surely holds every
+// acknowledged write that the service's replicas must hold. Such a write is at
+// the primary and at SyncReplicas of the others, whichever they are.
+func (c *Control) holdsWrites(s catalog.Service, f *failover, old catalog.InstanceID) bool {
+	if s.SyncReplicas == 0 {
+		return true
+	}
+	replicas, answers := 0, 0
+	for _, u := range c.instancesOf(s.ID) {
+		if u.said.Instance != old && c.mayHoldWrites(u) {
+			replicas++
+		}
+	}
+	for _, id := range c.eligible(s, f) {
+		switch {
+		case id != old:
+			answers++
+		case f.answers[id].Role == catalog.RolePrimary:
+			return true
+		}
+	}
+	return answers > max(replicas, answers)-s.SyncReplicas
+}
+
+// mayHoldWrites reports whether an upstream may have been sent writes that no
+// other replica has received. One that is long silent is not waited for, since
+// the others have received since what it held.
+func (c *Control) mayHoldWrites(u *upstreamView) bool {
+	return c.now.Before(max(u.heardAt, c.graceEnds).Add(holdsWritesFor))
+}
+
+// holdsWritesFor is how long a silent replica is waited for: longer than a cut
+// between it and control, or than a restart, is expected to last.
+const holdsWritesFor = 15 * time.Second
+
+// enoughAnswers reports whether a write that replicas hold can't be missed by
+// the eligible answers, and whether no better answer can be expected soon.
 func (c *Control) enoughAnswers(s catalog.Service, f *failover, old catalog.InstanceID) bool {
-	if f.plan != planFirst && len(c.eligible(s, f)) < answersNeeded(s) {
+	if f.plan != planFirst && (len(c.eligible(s, f)) < answersNeeded(s) || !c.holdsWrites(s, f, old)) {
 		return false
 	}
 	if f.surveyEnds <= c.now {
