node, session, link: few entries of a site hold a service's connections

Ruled out: slower opening with back-off (the slots are taken either way); affinity of idle connections (tried before, no effect).

Change: control tells the entries of a site of each other; of these the first by rendezvous hash, 4 connections a slot in all, own a service. The others pass requests on, by a stream of CBOR frames that carries one request at a time, or all of a transaction. An entry that falls silent or declines is avoided for a while; a read runs elsewhere, a write is in doubt. A rollback gives its connection back.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -104,8 +104,8 @@
 	return nil
 }
 
-// connect serves the other processes of the system, and scrapes.
-func (h *hosted) connect() error {
+// join makes the way to the other processes of the system.
+func (h *hosted) join() {
 	h.hub = link.NewHub(link.Options{
 		VM: h.settings.VM, Address: h.settings.PeerAddress,
 		Receive: func(from catalog.VMID, m wire.Message) {
@@ -116,8 +116,16 @@
 			h.log.Info("A peer's message was refused.", "part", "link", "cause", err.Error())
 		},
 	})
+}
+
+// connect serves the other processes of the system, and scrapes. More are
+// further handlers for processes of the system, by path.
+func (h *hosted) connect(more map[string]http.Handler) error {
 	peers := http.NewServeMux()
 	peers.Handle(link.Path, h.hub)
+	for path, handler := range more {
+		peers.Handle(path, handler)
+	}
 	if err := h.listen(h.settings.PeerAddress(h.settings.VM), peers); err != nil {
 		return err
 	}
--- a/daemon/hosted_control.go
+++ b/daemon/hosted_control.go
@@ -47,7 +47,8 @@
 	defer ask.surveyor.Close()
 	asked := newAsker(h.loop.Feed)
 	asked.timeout = hostedCommandTime
-	if err := h.connect(); err != nil {
+	h.join()
+	if err := h.connect(nil); err != nil {
 		return errors.Trace(err)
 	}
 	api := &platform.Control{Settings: h.settings, Ask: asked.ask, Log: h.log, Count: h.metrics.Count}
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/link"
 	"github.com/kingcupknot/kingcupknot/node"
 	"github.com/kingcupknot/kingcupknot/platform"
 	"github.com/kingcupknot/kingcupknot/session"
@@ -24,11 +28,22 @@
 	})
 	h.loop = NewLoop(h.clock, entry.Step)
 	pool := session.NewPool(h.poolOptions())
+	var streams *link.Streams
 	callers := session.NewServer(session.Options{
 		Feed: h.loop.Feed, Now: h.clock.Now, Pool: pool, Decided: h.decided,
+		Way:        func(to catalog.VMID) (*session.Way, error) { return h.way(streams, to) },
 		MaxCallers: max(h.settings.MaxFiles-filesReserved, filesReserved), Grace: h.settings.StopTime,
 	})
-	if err := h.connect(); err != nil {
+	h.join()
+	streams = link.NewStreams(h.hub)
+	forwards := h.hub.HandleStreams(func(t *link.Stream) {
+		callers.ServeForwarded(t.From, func() (session.Forwarded, error) {
+			var f session.Forwarded
+			err := t.Receive(&f)
+			return f, err
+		}, func(r session.ForwardReply) error { return t.Send(r) })
+	})
+	if err := h.connect(map[string]http.Handler{link.StreamPath: forwards}); err != nil {
 		return errors.Trace(err)
 	}
 	var ready atomic.Bool
@@ -49,6 +64,8 @@
 			pool.Probe(v)
 		case node.RunRequest:
 			callers.Deliver(v.Request, v)
+		case node.ForwardRequest:
+			callers.Deliver(v.Request, v)
 		case node.AnswerRequest:
 			callers.Deliver(v.Request, v)
 		case node.RoutesChanged:
@@ -83,9 +100,37 @@
 // decided writes the decision on a request to the log.
 func (h *hosted) decided(d session.Decision) {
 	h.metrics.Observe("request", d.Took)
-	h.log.Info("A request was decided.", "part", "request", "request", d.Request, "database", d.Database,
+	pairs := []any{
+		"part", "request", "request", d.Request, "database", d.Database,
 		"service", string(d.Service), "statement", d.Verb.String(), "verdict", d.Verdict, "cause", d.Reason,
 		"instance", string(d.Instance), "tries", d.Tries, "floor", d.Floor, "version", uint64(d.Version),
 		"epoch", uint64(d.Epoch), "lease-left-ms", d.LeaseLeft.Milliseconds(),
-		"took-us", d.Took.Microseconds(), "waited-us", d.Waited.Microseconds())
+		"took-us", d.Took.Microseconds(), "waited-us", d.Waited.Microseconds(),
+	}
+	if d.From != "" {
+		pairs = append(pairs, "from", string(d.From))
+	}
+	if d.Via != "" {
+		pairs = append(pairs, "via", string(d.Via))
+	}
+	h.log.Info("A request was decided.", pairs...)
+}
+
+// way leads to another entry of the site.
+func (h *hosted) way(streams *link.Streams, to catalog.VMID) (*session.Way, error) {
+	t, err := streams.Take(to)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &session.Way{
+		To: to, Close: t.Close, Release: func() { streams.Give(t) },
+		Exchange: func(f session.Forwarded, deadline time.Time) (session.ForwardReply, error) {
+			var r session.ForwardReply
+			err := t.Exchange(f, &r, deadline)
+			if errors.Is(err, link.ErrNotSent) {
+				err = errors.Wrap(err, session.ErrNotSent)
+			}
+			return r, errors.Trace(err)
+		},
+	}, nil
 }
--- a/link/accept.go
+++ b/link/accept.go
@@ -36,18 +36,11 @@
 
 // ServeHTTP accepts a peer's connection and receives from it until it breaks.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s, err := websocket.Accept(w, r, nil)
-	if err != nil {
-		h.options.Refused(errors.Annotate(err, "accept peer"))
+	s, from, ok := h.accept(w, r)
+	if !ok {
 		return
 	}
 	defer func() { _ = s.CloseNow() }()
-	s.SetReadLimit(wire.MaxFrame)
-	from, err := h.greet(r.Context(), s)
-	if err != nil {
-		h.options.Refused(errors.Annotatef(err, "greet peer at %s", r.RemoteAddr))
-		return
-	}
 	if err := h.receive(s, from); err != nil {
 		h.options.Refused(errors.Annotatef(err, "peer %s", from))
 	}
--- a/link/dial.go
+++ b/link/dial.go
@@ -85,7 +85,9 @@
 func (h *Hub) keep(to catalog.VMID, q chan []byte) {
 	wait := redialFirst
 	for h.context.Err() == nil {
-		s, err := h.dial(to)
+		ctx, cancel := context.WithTimeout(h.context, dialTime)
+		s, err := h.dial(ctx, to, Path)
+		cancel()
 		if err == nil {
 			wait = redialFirst
 			h.pump(s, q)
@@ -112,13 +114,12 @@
 	}
 }
 
-func (h *Hub) dial(to catalog.VMID) (*websocket.Conn, error) {
-	ctx, cancel := context.WithTimeout(h.context, dialTime)
-	defer cancel()
-	s, _, err := websocket.Dial(ctx, "ws://"+h.options.Address(to)+Path, &websocket.DialOptions{HTTPClient: h.client})
+func (h *Hub) dial(ctx context.Context, to catalog.VMID, path string) (*websocket.Conn, error) {
+	s, _, err := websocket.Dial(ctx, "ws://"+h.options.Address(to)+path, &websocket.DialOptions{HTTPClient: h.client})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	s.SetReadLimit(wire.MaxFrame)
 	if err := h.introduce(ctx, s, to); err != nil {
 		_ = s.CloseNow()
 		return nil, err
--- a/node/control.go
+++ b/node/control.go
@@ -85,6 +85,9 @@
 	joinAt     catalog.Instant
 	sweepAt    catalog.Instant
 	seeded     bool
+	// sites are the entries at work, as of the last look before sitesAt.
+	sites   map[catalog.SiteID]siteView
+	sitesAt catalog.Instant
 	// revision numbers the changes of upstreams. Invariant: it never goes back
 	// within a life of the VM, also over changes of leader.
 	revision uint64
@@ -133,7 +136,8 @@
 	c.proposals = map[quorum.Index]uint64{}
 	c.evidence = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspects = map[catalog.ServiceID]catalog.Instant{}
-	c.watchAllAt, c.warmAt = 0, 0
+	c.watchAllAt, c.warmAt, c.sitesAt = 0, 0, 0
+	c.sites = map[catalog.SiteID]siteView{}
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachable = map[catalog.VMID]catalog.Instant{}
 	c.replacing = nil
@@ -281,6 +285,7 @@
 // sweep looks after everything that only time brings about.
 func (c *Control) sweep() {
 	c.seed()
+	c.watchSites()
 	c.watchSuspects()
 	c.followPrimaries()
 	c.warm()
--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -24,6 +24,13 @@
 }
 
 func newListedControl(saved quorum.Saved) *listedControl {
+	w := startListedControl(saved)
+	w.pass(time.Second)
+	return w
+}
+
+// startListedControl returns one that does not lead yet.
+func startListedControl(saved quorum.Saved) *listedControl {
 	if saved.Self.VM == "" {
 		self := quorum.Member{VM: "c1", Incarnation: 1, Voter: true}
 		saved = quorum.Saved{Self: self, Snapshot: quorum.Snapshot{Members: []quorum.Member{self}}}
@@ -38,7 +45,6 @@
 		panic(err)
 	}
 	w.control = c
-	w.pass(time.Second)
 	return w
 }
 
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -32,6 +32,8 @@
 	// wantsKept and primaries are those of the last report.
 	wantsKept bool
 	primaries uint64
+	// entries marks the entries of its site that it knew at the last report.
+	entries uint64
 	// wants are those of the last report that told them.
 	wants []wire.Want
 }
@@ -161,7 +163,7 @@
 	if !r.WantsKept {
 		c.takeWants(from, v, r.Wants)
 	}
-	v.wantsKept, v.primaries = r.WantsKept, r.Primaries
+	v.wantsKept, v.primaries, v.entries = r.WantsKept, r.Primaries, r.Entries
 	if bad {
 		c.watchSuspects()
 	}
@@ -247,6 +249,7 @@
 		c.addSettings(a, v.settings)
 	}
 	c.addUpstreams(a, v.upstreams)
+	c.addEntries(a, v)
 	if c.options.Entries == nil && (v.membersAt == 0 || c.now.Sub(v.membersAt) > tellMembersEvery) {
 		v.membersAt = c.now
 		a.Members = c.memberNames()
--- a/node/effect.go
+++ b/node/effect.go
@@ -66,6 +66,13 @@
 	Hold bool
 }
 
+// ForwardRequest passes a request on to another entry of the site, which runs
+// it for this one. ForwardDone follows.
+type ForwardRequest struct {
+	Request catalog.RequestID
+	To      catalog.VMID
+}
+
 // Verdict says what the caller is told.
 type Verdict uint8
 
@@ -91,6 +98,9 @@
 	RetryAfter time.Duration
 	// Replica is set if a replica gave the answer.
 	Replica bool
+	// Elsewhere is set for VerdictNotRun if another entry may well run the
+	// request.
+	Elsewhere bool
 	// Epoch is that of the primary known, and LeaseLeft how long its lease
 	// still ran; negative once it had run out. Both are for the log.
 	Epoch     catalog.Epoch
@@ -197,6 +207,7 @@
 func (CloseConn) effect()      {}
 func (Probe) effect()          {}
 func (RunRequest) effect()     {}
+func (ForwardRequest) effect() {}
 func (AnswerRequest) effect()  {}
 func (Persist) effect()        {}
 func (Survey) effect()         {}
--- a/node/entry.go
+++ b/node/entry.go
@@ -86,6 +86,7 @@
 	leaveBy    catalog.Instant
 	stopped    bool
 	siteVMs    []catalog.VMID
+	owners     entryOwners
 	leaseHolds entryLeaseCheck
 	allowed    entryAllowance
 }
@@ -161,6 +162,8 @@
 		e.takeWithdrawn(v)
 	case RequestDone:
 		e.takeDone(v)
+	case ForwardDone:
+		e.takeForwarded(v)
 	case TransactionDropped:
 		e.takeDropped(v)
 	case ConnOpened:
@@ -211,6 +214,9 @@
 // settleService may skip a service until its next event or deadline, so what
 // hangs on time in it must ask for a wake.
 func (e *Entry) settleService(s *entryService) {
+	if e.options.ListsUpstreams {
+		s.isObserved = e.isOwner(s)
+	}
 	e.subscribe(s)
 	e.settleLease(s)
 	e.forget(s)
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -284,7 +284,10 @@
 // ones that are kept warm.
 func (e *Entry) closeIdle(i *entryInstance) {
 	keep := 1
-	if e.inUse(i.service) {
+	switch {
+	case e.options.ListsUpstreams && !e.isOwner(i.service):
+		keep = 0
+	case e.inUse(i.service):
 		keep = 2
 	}
 	for k := len(i.conns) - 1; k >= 0 && i.open() > keep; k-- {
@@ -322,6 +325,9 @@
 
 // leastConns is how many connections are kept while no request uses them.
 func (e *Entry) leastConns(i *entryInstance) int {
+	if e.options.ListsUpstreams && !e.isOwner(i.service) {
+		return 0
+	}
 	if i.id == i.service.primary.Instance || i == e.nearest(i.service) {
 		return 1
 	}
--- a/node/entry_drain.go
+++ b/node/entry_drain.go
@@ -1,5 +1,10 @@
 package node
 
+import (
+	"maps"
+	"slices"
+)
+
 func (e *Entry) takeDrain() {
 	if e.leaving {
 		return
@@ -72,6 +77,11 @@
 
 // abandonRequests answers what the stop's deadline overtook.
 func (e *Entry) abandonRequests() {
+	for _, id := range slices.Sorted(maps.Keys(e.requests)) {
+		if r := e.requests[id]; r.forwardedTo != "" {
+			e.answerUnknown(r, "this entry has stopped")
+		}
+	}
 	for _, id := range e.order {
 		s := e.services[id]
 		for class := range s.waiting {
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -44,6 +44,19 @@
 		e.refuse(r, "no upstream was free before the deadline", s.serve)
 		return true
 	}
+	if e.mayForward(r) {
+		if e.awaitsOwners() {
+			return false
+		}
+		if e.forward(s, r) {
+			return true
+		}
+		if e.leaving {
+			e.refuse(r, "this entry is stopping", retryLeast)
+			return true
+		}
+		e.use(r)
+	}
 	if r.isRead() {
 		return e.placeRead(s, r, p)
 	}
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -145,7 +145,7 @@
 	if !e.options.ListsUpstreams {
 		return
 	}
-	m.Primaries = e.markPrimaries()
+	m.Primaries, m.Entries = e.markPrimaries(), e.owners.mark
 	p := &e.report
 	told := p.leader != "" && p.taken[p.wantsIn] && e.now.Before(p.wantsAt.Add(repeatWants))
 	if told && sameWants(m.Wants, p.wants) && !e.lacksGrant(m.Wants) {
@@ -244,6 +244,7 @@
 	}
 	e.takeSettings(a)
 	e.takeUpstreams(a)
+	e.takeEntries(a)
 	for _, l := range a.Leases {
 		e.takeLease(l, sent)
 	}
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -25,10 +25,15 @@
 		return
 	}
 	e.touch(s)
-	s.used, s.wasUsed = e.now, true
-	e.subscribe(s)
 	s.tokens = min(s.tokens+retryShare, retryBurst)
 	e.count("requests")
+	if e.mayForward(r) && (e.awaitsOwners() || e.forward(s, r)) {
+		if r.forwardedTo == "" {
+			s.waiting[r.Class] = append(s.waiting[r.Class], r)
+		}
+		return
+	}
+	e.use(r)
 	if v.Kind == KindInside {
 		e.runInside(r)
 		return
@@ -233,6 +238,7 @@
 	}
 	e.answer(r, AnswerRequest{
 		Request: r.Request, Verdict: verdict, Reason: reason, RetryAfter: clampRetry(after),
+		Elsewhere: verdict == VerdictNotRun && e.declines(r),
 	})
 }
 
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -88,6 +88,10 @@
 	// serve is the smoothed time that a request takes at an upstream.
 	serve time.Duration
 
+	// owners are the entries of the site that hold the service's connections,
+	// the first ones first, of the list that ownersMark marks.
+	owners     []catalog.VMID
+	ownersMark uint64
 	// isObserved is set if this entry is one of the service's observers.
 	isObserved bool
 	// isSubscribed is set while the entry observes the service or has callers
@@ -253,6 +257,11 @@
 	weighed, yields bool
 	// primaryOnly is set for a read that a replica refused as a write.
 	primaryOnly bool
+	// forwardedTo is the entry that runs it, empty if none does; forwards
+	// counts the entries asked. isLocal is set once this entry runs it itself.
+	forwardedTo catalog.VMID
+	forwards    int
+	isLocal     bool
 	// avoid is the instance that failed it last.
 	avoid *entryInstance
 	// reached is the position of a write that waits for replicas.
--- a/node/event.go
+++ b/node/event.go
@@ -86,6 +86,9 @@
 	PrimaryOnly bool
 	// Deadline is when the caller stops waiting.
 	Deadline catalog.Instant
+	// Forwarded is set if another entry passes on a request of its caller. Such
+	// a request is not passed on again.
+	Forwarded bool
 }
 
 // RequestWithdrawn says that the caller of a waiting request is gone. The
@@ -182,6 +185,26 @@
 	Received catalog.Offset
 }
 
+// ForwardOutcome says what became of a request that was passed on.
+type ForwardOutcome uint8
+
+// Outcomes of passing on.
+const (
+	// ForwardAnswered means that the other entry has answered. The caller gets
+	// that answer, and no AnswerRequest follows.
+	ForwardAnswered ForwardOutcome = iota
+	// ForwardDeclined means that it did not run there and will not.
+	ForwardDeclined
+	// ForwardLost means that the other entry fell silent; it may have run.
+	ForwardLost
+)
+
+// ForwardDone follows ForwardRequest.
+type ForwardDone struct {
+	Request catalog.RequestID
+	Outcome ForwardOutcome
+}
+
 // Persisted follows Persist.
 type Persisted struct {
 	Token uint64
@@ -227,6 +250,7 @@
 }
 
 func (ConnSettled) input()        {}
+func (ForwardDone) input()        {}
 func (SeedsChanged) input()       {}
 func (TimerFired) input()         {}
 func (PeerReceived) input()       {}
--- a/session/request.go
+++ b/session/request.go
@@ -21,6 +21,8 @@
 	retryAfter time.Duration
 	// late is set if the deadline has passed.
 	late bool
+	// elsewhere is set if another entry may well run what has not run here.
+	elsewhere bool
 }
 
 func (o *outcome) text() string {
@@ -52,6 +54,9 @@
 	Version catalog.Version
 	Took    time.Duration
 	Waited  time.Duration
+	// From is the entry that passed the request on to this one, Via the one
+	// that this entry passed it on to.
+	From, Via catalog.VMID
 }
 
 func (s *Server) decided(d Decision) {
@@ -68,13 +73,17 @@
 
 // request has the entry run one statement and waits for what comes of it.
 func (c *session) request(st Statement, route catalog.Route, kind node.RequestKind) outcome {
+	d := Decision{Request: st.ID, Database: c.database, Service: route.Service, Verb: st.Verb, From: c.from}
+	if c.tx != nil && c.tx.way != nil {
+		return c.requestThere(st, route, d)
+	}
 	id, effects := c.server.register()
 	defer c.server.unregister(id)
 	now := c.server.options.Now()
 	in := node.RequestArrived{
 		Request: id, Service: route.Service, Kind: kind, Class: classOf(route),
 		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
-		Deadline: now.Add(route.Timeout), Objective: route.Objective,
+		Deadline: now.Add(route.Timeout), Objective: route.Objective, Forwarded: c.from != "",
 	}
 	if c.tx != nil {
 		in.Held = c.tx.held
@@ -82,7 +91,7 @@
 	if route.Reads == catalog.ReadsOwnWrites {
 		in.Floor = c.floor
 	}
-	d := Decision{Request: st.ID, Database: c.database, Service: route.Service, Verb: st.Verb, Floor: in.Floor}
+	d.Floor = in.Floor
 	c.server.options.Feed(in)
 	var o outcome
 	var ranAt catalog.Instant
@@ -96,14 +105,20 @@
 			}
 			done, reply := c.exchange(st, kind, v, in.Deadline)
 			o.reply = reply
-			if done.InTransaction {
-				c.hold(v.Conn)
-			}
+			c.hold(v.Conn, done.InTransaction)
 			c.server.options.Feed(done)
 			if done.Late {
 				go c.server.options.Pool.settle(v.Conn)
 			}
+		case node.ForwardRequest:
+			d.Via = v.To
+			reply, how := c.forward(v.To, c.forwarded(st, route, kind, in.Deadline), in.Deadline)
+			c.server.options.Feed(node.ForwardDone{Request: id, Outcome: how})
+			if how == node.ForwardAnswered {
+				return c.takeReply(reply, d, now)
+			}
 		case node.AnswerRequest:
+			o.elsewhere = v.Elsewhere
 			o.verdict, o.floor, o.reason, o.retryAfter = v.Verdict, v.Floor, v.Reason, v.RetryAfter
 			end := c.server.options.Now()
 			o.late = !end.Before(in.Deadline)
@@ -122,9 +137,13 @@
 	return o
 }
 
-// hold notes the connection of the caller's transaction.
-func (c *session) hold(conn catalog.ConnID) {
-	if c.tx != nil {
+// hold notes whether a connection is that of the caller's transaction.
+func (c *session) hold(conn catalog.ConnID, is bool) {
+	switch {
+	case c.tx == nil:
+	case is:
 		c.tx.held = conn
+	default:
+		c.tx.held = 0
 	}
 }
--- a/session/script_test.go
+++ b/session/script_test.go
@@ -61,7 +61,6 @@
 		Feed: g.feed, Now: func() catalog.Instant { return 1 }, Dialect: testDialect(), Log: logr.Discard(),
 	})
 	g.server = NewServer(Options{Feed: g.feed, Now: func() catalog.Instant { return 1 }, Pool: pool, Decided: func(Decision) {}})
-	g.setRoute(catalog.ReadsOwnWrites)
 	g.conn = newConn(scriptConn, "a", Wire{Send: g.send, Receive: g.receive, Close: func() { close(g.closed) }}, func(wire.Evidence) {})
 	pool.conns[scriptConn] = g.conn
 	g.session = &session{server: g.server, database: "shop", values: map[string]string{}, names: map[string]prepared{}, link: Link{
@@ -70,11 +69,12 @@
 			return nil
 		},
 	}}
+	g.setRoute(catalog.ReadsOwnWrites)
 	return g
 }
 
 func (g *rig) setRoute(p catalog.ReadPolicy) {
-	g.server.SetRoutes(node.RoutesChanged{Version: 1, TransactionIdle: time.Second, Routes: []catalog.Route{{
+	g.session.server.SetRoutes(node.RoutesChanged{Version: 1, TransactionIdle: time.Second, Routes: []catalog.Route{{
 		RouteKey: catalog.RouteKey{Database: "shop"}, Service: "orders", Reads: p, Timeout: 50 * time.Millisecond, MaxAge: time.Second,
 	}}})
 }
@@ -269,7 +269,15 @@
 
 // TestScripts plays the conversations. What an "up" line expects stands before
 // the call that leads to it.
-func TestScripts(t *testing.T) {
+func TestScripts(t *testing.T) { playScripts(t, newRig) }
+
+// TestForwardedScripts plays the same conversations with an entry between the
+// caller and the one that runs the statements: the caller and the upstream must
+// not notice.
+func TestForwardedScripts(t *testing.T) { playScripts(t, newForwardingRig) }
+
+func playScripts(t *testing.T, newRig func(*testing.T) *rig) {
+	t.Helper()
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
 		t.Fatal("no scripts", err)
--- a/session/server.go
+++ b/session/server.go
@@ -32,6 +32,8 @@
 	Feed func(node.Input)
 	Now  func() catalog.Instant
 	Pool *Pool
+	// Way opens a way to another entry, or takes one that rests.
+	Way func(to catalog.VMID) (*Way, error)
 	// Decided is told of every decision on a request, for the log.
 	Decided func(Decision)
 	// MaxCallers bounds the callers connected at a time.
@@ -55,6 +57,8 @@
 	stopBy atomic.Int64
 	// released is set while callers should connect elsewhere.
 	released atomic.Bool
+	// forwards counts the requests that run here for other entries.
+	forwards atomic.Int64
 }
 
 // NewServer returns a server without callers.
@@ -70,7 +74,7 @@
 	s.routes.set(e)
 }
 
-// Deliver carries out RunRequest and AnswerRequest. It does not block.
+// Deliver carries out RunRequest, ForwardRequest and AnswerRequest. It does not block.
 func (s *Server) Deliver(id catalog.RequestID, e node.Effect) {
 	s.mutex.Lock()
 	c := s.waiting[id]
@@ -131,7 +135,7 @@
 func (s *Server) Idle() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.sessions) == 0
+	return len(s.sessions) == 0 && s.forwards.Load() == 0
 }
 
 // Drain begins a planned stop: sessions end when they are between operations,
--- a/session/session.go
+++ b/session/session.go
@@ -34,6 +34,8 @@
 	// grows.
 	floor catalog.Position
 	tx    *transaction
+	// from is the entry whose requests run here, empty for a caller's session.
+	from catalog.VMID
 	// active is when the caller was answered last.
 	active time.Time
 }
@@ -44,6 +46,8 @@
 	readOnly bool
 	// held is the upstream connection, zero before the first statement.
 	held catalog.ConnID
+	// way leads to the entry that holds it, nil if none does.
+	way *Way
 	// wrote is set once a write was sent.
 	wrote  bool
 	failed bool
@@ -51,6 +55,9 @@
 	restsUntil time.Time
 }
 
+// isHeld reports whether an upstream takes part.
+func (t *transaction) isHeld() bool { return t.held != 0 || t.way != nil }
+
 func (c *session) run() {
 	defer c.link.Close()
 	defer c.drop()
@@ -144,7 +151,14 @@
 
 // drop gives the connection of the transaction up, which rolls it back.
 func (c *session) drop() {
-	if c.tx == nil || c.tx.held == 0 {
+	if c.tx == nil {
+		return
+	}
+	if c.tx.way != nil {
+		c.tx.way.Close()
+		c.tx.way = nil
+	}
+	if c.tx.held == 0 {
 		return
 	}
 	if u := c.server.options.Pool.conn(c.tx.held); u != nil {
@@ -250,7 +264,7 @@
 // rollback ends a transaction without keeping anything.
 func (c *session) rollback() error {
 	t := c.tx
-	if t.held != 0 {
+	if t.isHeld() {
 		c.request(Statement{Verb: VerbRollback}, t.route, node.KindInside)
 	}
 	c.drop()
@@ -293,7 +307,7 @@
 	}
 	kind := node.KindInside
 	switch {
-	case c.tx.held != 0:
+	case c.tx.isHeld():
 	case c.tx.readOnly:
 		kind = node.KindBeginRead
 	default:
--- a/wire/message.go
+++ b/wire/message.go
@@ -104,6 +104,9 @@
 	Primaries uint64 `cbor:"14,keyasint,omitempty"`
 	// Upstreams says which of control's lists of upstreams the entry has.
 	Upstreams UpstreamsMark `cbor:"12,keyasint,omitempty"`
+	// Entries marks the entries of its site that the entry knows, zero if it
+	// knows none; see MarkEntries.
+	Entries uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // UpstreamsMark names a state of one leader's list of upstreams.
@@ -167,6 +170,27 @@
 	Primaries uint64        `cbor:"19,keyasint,omitempty"`
 	// Members are the control VMs, empty if the entry was told before.
 	Members []catalog.VMID `cbor:"17,keyasint,omitempty"`
+	// Entries are the entries of the entry's site that are at work, in order,
+	// empty if Report.Entries marks them. Sites is how many sites have entries.
+	Entries []catalog.VMID `cbor:"20,keyasint,omitempty"`
+	Sites   int            `cbor:"21,keyasint,omitempty"`
+}
+
+// MarkEntries tells one list of entries from another.
+func MarkEntries(entries []catalog.VMID, sites int) uint64 {
+	if len(entries) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	for _, vm := range entries {
+		// A digest takes everything.
+		_, _ = d.WriteString(string(vm))
+		_, _ = d.Write([]byte{0})
+	}
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(sites))
+	_, _ = d.Write(b[:])
+	return d.Sum64()
 }
 
 // MarkPrimaries tells one set of primaries from another. It is zero if one of
