node: requests that can still keep their objective go first

Ruled out: refusing the backlog (it can be served, late); newest first (starves the rest).

Change: within a service's queue those that have not missed their objective go first, by class; the others follow in the order of arrival. What a caller waited at the entry that passed it on counts.

--- a/node/entry_owner_test.go
+++ b/node/entry_owner_test.go
@@ -89,6 +89,10 @@
 			So(w.entry.requests, ShouldBeEmpty)
 		})
 	})
+}
+
+func TestForwardRepeats(t *testing.T) {
+	first, second := ownerNames()
 	Convey("a read runs again elsewhere if the entry that ran it fell silent", t, func() {
 		w := newSiteEntry(first, second)
 		w.run(RequestArrived{Request: 1, Kind: KindRead})
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -18,22 +18,31 @@
 	replica int
 }
 
-// dispatch places waiting requests, most urgent class first, and refuses what
-// can't make its deadline or finds the queue full.
+// dispatch places waiting requests and refuses what can't make its deadline or
+// finds the queue full. Those that can still keep their objective go first, the
+// most urgent class first. After an outage everybody comes at once: in the order
+// of arrival all of them would be late, and those that come meanwhile too.
 func (e *Entry) dispatch(s *entryService) {
 	var p placement
-	for class := range s.waiting {
-		kept := s.waiting[class][:0]
-		for _, r := range s.waiting[class] {
-			if !e.place(s, r, &p) {
-				kept = append(kept, r)
+	for _, late := range [...]bool{false, true} {
+		for class := range s.waiting {
+			kept := s.waiting[class][:0]
+			for _, r := range s.waiting[class] {
+				if e.isLate(r) != late || !e.place(s, r, &p) {
+					kept = append(kept, r)
+				}
 			}
+			s.waiting[class] = kept
 		}
-		s.waiting[class] = kept
 	}
 	e.shed(s)
 }
 
+// isLate reports whether the request has missed its objective already.
+func (e *Entry) isLate(r *entryRequest) bool {
+	return r.Objective > 0 && e.now.Sub(r.arrived)+r.Waited > r.Objective
+}
+
 // place reports whether the request left the queue, be it started or refused.
 func (e *Entry) place(s *entryService, r *entryRequest, p *placement) bool {
 	if !s.accepted {
--- a/node/event.go
+++ b/node/event.go
@@ -86,6 +86,8 @@
 	PrimaryOnly bool
 	// Deadline is when the caller stops waiting.
 	Deadline catalog.Instant
+	// Waited is how long the caller has waited before this entry got it.
+	Waited time.Duration
 	// Forwarded is set if another entry passes on a request of its caller. Such
 	// a request is not passed on again.
 	Forwarded bool
--- a/session/forward.go
+++ b/session/forward.go
@@ -24,6 +24,8 @@
 	Shape  string           `cbor:"6,keyasint,omitempty"`
 	Writes bool             `cbor:"7,keyasint,omitempty"`
 	Floor  catalog.Position `cbor:"8,keyasint"`
+	// Waited is how long the caller has waited already.
+	Waited time.Duration `cbor:"9,keyasint"`
 }
 
 // ForwardReply is the other entry's answer.
@@ -58,8 +60,12 @@
 
 // forwarded describes a request for another entry.
 func (c *session) forwarded(st Statement, route catalog.Route, kind node.RequestKind, deadline catalog.Instant) Forwarded {
-	route.Timeout = max(deadline.Sub(c.server.options.Now()), 0)
-	f := Forwarded{Database: c.database, Route: route, Kind: kind, Statement: st, Values: c.values, Floor: c.floor}
+	left := max(deadline.Sub(c.server.options.Now()), 0)
+	f := Forwarded{
+		Database: c.database, Route: route, Kind: kind, Statement: st, Values: c.values, Floor: c.floor,
+		Waited: max(route.Timeout-left, 0),
+	}
+	f.Route.Timeout = left
 	if st.Verb == VerbExecute {
 		f.Shape, f.Writes = c.names[st.Name].shape, c.names[st.Name].writes
 	}
@@ -173,7 +179,7 @@
 	if f.Kind == node.KindBegin || f.Kind == node.KindBeginRead {
 		c.tx = &transaction{route: f.Route, readOnly: f.Kind == node.KindBeginRead}
 	}
-	c.database, c.values, c.floor = f.Database, f.Values, f.Floor
+	c.database, c.values, c.floor, c.waited = f.Database, f.Values, f.Floor, f.Waited
 	c.names = map[string]prepared{f.Statement.Name: {writes: f.Writes, shape: f.Shape}}
 	o := c.request(f.Statement, f.Route, f.Kind)
 	if o.elsewhere {
--- a/session/forward_test.go
+++ b/session/forward_test.go
@@ -93,65 +93,73 @@
 	}
 }
 
-func TestForwarding(t *testing.T) {
-	call := func(g *rig, st Statement) Answer {
-		g.answers = nil
-		So(g.session.handle(st), ShouldBeNil)
-		So(g.answers, ShouldHaveLength, 1)
-		return g.answers[0]
-	}
-	read := Statement{ID: "r1", Verb: VerbRead, Text: "read 7"}
-	write := Statement{ID: "w1", Verb: VerbWrite, Text: "write 7 x"}
-	begin, commit := Statement{ID: "b1", Verb: VerbBegin}, Statement{ID: "c1", Verb: VerbCommit, Text: "commit"}
+var (
+	readSeven  = Statement{ID: "r1", Verb: VerbRead, Text: "read 7"}
+	writeSeven = Statement{ID: "w1", Verb: VerbWrite, Text: "write 7 x"}
+	beginOne   = Statement{ID: "b1", Verb: VerbBegin}
+	commitOne  = Statement{ID: "c1", Verb: VerbCommit, Text: "commit"}
+)
+
+// ask has the caller send one statement and returns the answer.
+func (g *rig) ask(st Statement) Answer {
+	g.answers = nil
+	So(g.session.handle(st), ShouldBeNil)
+	So(g.answers, ShouldHaveLength, 1)
+	return g.answers[0]
+}
 
+func TestForwarding(t *testing.T) {
 	Convey("what could not be sent has not run", t, func() {
 		g, f := newFront(t)
 		f.unreachable = true
-		So(call(g, write).Code, ShouldEqual, CodeBusy)
+		So(g.ask(writeSeven).Code, ShouldEqual, CodeBusy)
 		So(f.outcomes, ShouldResemble, []node.ForwardOutcome{node.ForwardDeclined})
 	})
 	Convey("an entry that is stopping or cut off declines what is new to it", t, func() {
 		g, f := newFront(t)
 		g.server.Drain()
-		So(call(g, write).Code, ShouldEqual, CodeBusy)
+		So(g.ask(writeSeven).Code, ShouldEqual, CodeBusy)
 		So(f.outcomes, ShouldResemble, []node.ForwardOutcome{node.ForwardDeclined})
 	})
 	Convey("a write is in doubt if the entry that ran it fell silent", t, func() {
 		g, f := newFront(t)
 		f.lost = true
-		So(call(g, write).Code, ShouldEqual, CodeInDoubt)
+		So(g.ask(writeSeven).Code, ShouldEqual, CodeInDoubt)
 		So(f.outcomes, ShouldResemble, []node.ForwardOutcome{node.ForwardLost})
 	})
+}
+
+func TestForwardedTransactions(t *testing.T) {
 	Convey("a transaction stays with the entry that began it", t, func() {
 		g, f := newFront(t)
 		g.expect("- begin = ok open")
 		g.expect("w1 write 7 x = ok open")
-		call(g, begin)
-		So(call(g, write).Code, ShouldEqual, CodeNone)
+		g.ask(beginOne)
+		So(g.ask(writeSeven).Code, ShouldEqual, CodeNone)
 		So(g.held, ShouldBeTrue)
 		Convey("while that is stopping too", func() {
 			g.server.Drain()
 			g.expect("c1 commit = ok idle")
-			So(call(g, commit).Code, ShouldEqual, CodeNone)
+			So(g.ask(commitOne).Code, ShouldEqual, CodeNone)
 			So(f.ways, ShouldEqual, 1)
 			So(g.held, ShouldBeFalse)
 		})
 		Convey("and its commit is in doubt if that falls silent", func() {
 			f.lost = true
-			a := call(g, commit)
+			a := g.ask(commitOne)
 			So(a.Code, ShouldEqual, CodeInDoubt)
 			So(a.State, ShouldEqual, StateIdle)
 			So(g.held, ShouldBeFalse)
 		})
 		Convey("any other statement then ends it with nothing kept", func() {
 			f.lost = true
-			a := call(g, read)
+			a := g.ask(readSeven)
 			So(a.Code, ShouldEqual, CodeAborted)
 			So(a.State, ShouldEqual, StateFailed)
 			So(g.held, ShouldBeFalse)
 			Convey("and later ones do not reach the entry", func() {
 				f.lost = false
-				So(call(g, commit).Code, ShouldEqual, CodeAborted)
+				So(g.ask(commitOne).Code, ShouldEqual, CodeAborted)
 			})
 		})
 		Convey("and is rolled back there when the caller is gone", func() {
@@ -163,7 +171,7 @@
 	Convey("a statement of a transaction that is not there any more has not run", t, func() {
 		g := newRig(t)
 		there := &session{server: g.server, from: "a"}
-		r := there.runForwarded(Forwarded{Kind: node.KindInside, Statement: commit})
+		r := there.runForwarded(Forwarded{Kind: node.KindInside, Statement: commitOne})
 		So(r.Declined, ShouldBeFalse)
 		So(r.Verdict, ShouldEqual, node.VerdictNotRun)
 	})
--- a/session/request.go
+++ b/session/request.go
@@ -83,7 +83,7 @@
 	in := node.RequestArrived{
 		Request: id, Service: route.Service, Kind: kind, Class: classOf(route),
 		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
-		Deadline: now.Add(route.Timeout), Objective: route.Objective, Forwarded: c.from != "",
+		Deadline: now.Add(route.Timeout), Objective: route.Objective, Forwarded: c.from != "", Waited: c.waited,
 	}
 	if c.tx != nil {
 		in.Held = c.tx.held
--- a/session/session.go
+++ b/session/session.go
@@ -36,6 +36,9 @@
 	tx    *transaction
 	// from is the entry whose requests run here, empty for a caller's session.
 	from catalog.VMID
+	// waited is how long the caller of that entry has waited for the request
+	// that runs.
+	waited time.Duration
 	// active is when the caller was answered last.
 	active time.Time
 }
