link, node: one channel between two entries; faster change of leader

Cause: a stream for each request at a time meant 200 greetings at an owner when all come back at once, each 5 ms of an entry with 0.19 cores. The wait for control was the other half: elections of 300 to 600 ms, entries that look for a leader each 100 ms and hear of each other with their next report. A lease of 1.2 s held up each change of primary.

Change: talks share one channel.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -42,12 +42,14 @@
 		Probe:        300 * time.Millisecond,
 		ProbeTimeout: 300 * time.Millisecond,
 		Suspect:      700 * time.Millisecond,
-		// A lease outlasts a change of the control leader.
-		Lease:     1200 * time.Millisecond,
-		Drift:     50 * time.Millisecond,
-		Announce:  4 * time.Second,
-		Heartbeat: 100 * time.Millisecond,
-		Election:  300 * time.Millisecond,
+		// A lease outlasts a change of the control leader: two elections, and
+		// three reports until an entry looks for the next.
+		Lease:    900 * time.Millisecond,
+		Drift:    50 * time.Millisecond,
+		Announce: 4 * time.Second,
+		// Three heartbeats, or a standstill, fit into an election.
+		Heartbeat: 60 * time.Millisecond,
+		Election:  200 * time.Millisecond,
 		Drain:     s.StopTime - stopReserve,
 		// Upstreams bound their connections themselves, so that grants need
 		// not end as fast as leases.
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -28,22 +28,22 @@
 	})
 	h.loop = NewLoop(h.clock, entry.Step)
 	pool := session.NewPool(h.poolOptions())
-	var streams *link.Streams
+	var channels *link.Channels
 	callers := session.NewServer(session.Options{
 		Feed: h.loop.Feed, Now: h.clock.Now, Pool: pool, Decided: h.decided,
-		Way:        func(to catalog.VMID) (*session.Way, error) { return h.way(streams, to) },
+		Way:        func(to catalog.VMID) (*session.Way, error) { return h.way(channels, to) },
 		MaxCallers: max(h.settings.MaxFiles-filesReserved, filesReserved), Grace: h.settings.StopTime,
 	})
 	h.join()
-	streams = link.NewStreams(h.hub)
-	forwards := h.hub.HandleStreams(func(t *link.Stream) {
-		callers.ServeForwarded(t.From, func() (session.Forwarded, error) {
+	channels = link.NewChannels(h.hub)
+	forwards := h.hub.HandleChannels(func(q link.Questions) {
+		callers.ServeForwarded(q.From, func() (session.Forwarded, error) {
 			var f session.Forwarded
-			err := t.Receive(&f)
+			err := q.Next(&f)
 			return f, err
-		}, func(r session.ForwardReply) error { return t.Send(r) })
+		}, func(r session.ForwardReply) error { return q.Answer(r) })
 	})
-	if err := h.connect(map[string]http.Handler{link.StreamPath: forwards}); err != nil {
+	if err := h.connect(map[string]http.Handler{link.ChannelPath: forwards}); err != nil {
 		return errors.Trace(err)
 	}
 	var ready atomic.Bool
@@ -117,20 +117,18 @@
 }
 
 // way leads to another entry of the site.
-func (h *hosted) way(streams *link.Streams, to catalog.VMID) (*session.Way, error) {
-	t, err := streams.Take(to)
+func (h *hosted) way(channels *link.Channels, to catalog.VMID) (*session.Way, error) {
+	c, err := channels.Open(to)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &session.Way{
-		To: to, Close: t.Close, Release: func() { streams.Give(t) },
-		Exchange: func(f session.Forwarded, deadline time.Time) (session.ForwardReply, error) {
-			var r session.ForwardReply
-			err := t.Exchange(f, &r, deadline)
-			if errors.Is(err, link.ErrNotSent) {
-				err = errors.Wrap(err, session.ErrNotSent)
-			}
-			return r, errors.Trace(err)
-		},
-	}, nil
+	t := c.Begin()
+	return &session.Way{To: to, End: t.End, Exchange: func(f session.Forwarded, deadline time.Time) (session.ForwardReply, error) {
+		var r session.ForwardReply
+		err := t.Ask(f, &r, deadline)
+		if errors.Is(err, link.ErrNotSent) {
+			err = errors.WithType(err, session.ErrNotSent)
+		}
+		return r, errors.Trace(err)
+	}}, nil
 }
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -32,8 +32,10 @@
 	// wantsKept and primaries are those of the last report.
 	wantsKept bool
 	primaries uint64
-	// entries marks the entries of its site that it knew at the last report.
-	entries uint64
+	// entries marks the entries of its site that it knew at the last report,
+	// pushedAt is when it was told of them without having asked.
+	entries  uint64
+	pushedAt catalog.Instant
 	// wants are those of the last report that told them.
 	wants []wire.Want
 }
--- a/node/control_sites.go
+++ b/node/control_sites.go
@@ -46,6 +46,22 @@
 		slices.Sort(entries)
 		c.sites[site] = siteView{entries: entries, mark: wire.MarkEntries(entries, len(bySite))}
 	}
+	c.pushEntries()
+}
+
+// pushEntries tells the entries that know no others as soon as they may be told:
+// their callers wait for it.
+func (c *Control) pushEntries() {
+	if c.now.Sub(c.quorum.LedSince()) < gatherTime {
+		return
+	}
+	for _, vm := range c.entryNames() {
+		v := c.entries[vm]
+		if v.entries == 0 && v.pushedAt.Add(tellMembersEvery).Before(c.now) {
+			v.pushedAt = c.now
+			c.push(vm)
+		}
+	}
 }
 
 // addEntries tells an entry of the others of its site, unless it knows them.
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -11,10 +11,15 @@
 )
 
 const (
+	// seekFactor is how much more often an entry without a leader reports.
+	seekFactor = 3
 	// reportsKept is how many reports may be answered late.
 	reportsKept = 64
 	// leaderReports is how many unanswered reports make the leader unknown.
 	leaderReports = 3
+	// listedLeaderReports is the same where control alone tells of upstreams: a
+	// lease then has to outlast a change of leader and this.
+	listedLeaderReports = 2
 )
 
 // entryReports is the exchange of reports and answers with control.
@@ -99,13 +104,13 @@
 	p.next = e.now.Add(e.options.Timings.Report)
 	if e.options.ListsUpstreams && p.leader == "" {
 		// The next leader should be found soon after its election.
-		p.next = e.now.Add(e.options.Timings.Report / 2)
+		p.next = e.now.Add(e.options.Timings.Report / seekFactor)
 	}
 	p.sent[p.sequence] = e.now
 	delete(p.sent, p.sequence-reportsKept)
 	delete(p.taken, p.sequence-reportsKept)
 	p.unanswered++
-	if p.unanswered > leaderReports {
+	if p.unanswered > e.leaderReports() {
 		p.setLeader("")
 	}
 	m := e.buildReport()
@@ -118,6 +123,13 @@
 	}
 }
 
+func (e *Entry) leaderReports() int {
+	if e.options.ListsUpstreams {
+		return listedLeaderReports
+	}
+	return leaderReports
+}
+
 func (e *Entry) buildReport() *wire.Report {
 	m := &wire.Report{
 		VM: e.options.VM, Site: e.options.Site, Life: e.options.Life,
@@ -268,7 +280,7 @@
 	p.setLeader("")
 	if a.Leader != "" && a.Leader != from {
 		p.setLeader(a.Leader)
-		p.urgent = p.unanswered <= leaderReports
+		p.urgent = p.unanswered <= e.leaderReports()
 	}
 }
 
--- a/session/forward.go
+++ b/session/forward.go
@@ -48,14 +48,14 @@
 // ErrNotSent says that nothing of a request has left for the other entry.
 const ErrNotSent = errors.ConstError("the other entry is out of reach")
 
-// Way leads to another entry. It carries one request at a time, and all
-// requests of a transaction.
+// Way leads to another entry, for one request or for those of a transaction.
 type Way struct {
 	To catalog.VMID
 	// Exchange fails with ErrNotSent, or if the other entry falls silent.
 	Exchange func(f Forwarded, deadline time.Time) (ForwardReply, error)
-	// Release gives the way back for others, Close ends it.
-	Release, Close func()
+	// End ends the way; isHeld is set if the other entry still holds a
+	// transaction, which it then rolls back.
+	End func(isHeld bool)
 }
 
 // forwarded describes a request for another entry.
@@ -85,18 +85,18 @@
 	reply, err := w.Exchange(f, c.server.options.Pool.wallTime(deadline.Add(forwardReserve)))
 	switch {
 	case errors.Is(err, ErrNotSent):
-		w.Close()
+		w.End(false)
 		return ForwardReply{}, node.ForwardDeclined
 	case err != nil:
-		w.Close()
+		w.End(true)
 		return ForwardReply{}, node.ForwardLost
 	case reply.Declined:
-		w.Release()
+		w.End(false)
 		return ForwardReply{}, node.ForwardDeclined
 	case reply.Held && c.tx != nil:
 		c.tx.way = w
 	default:
-		w.Release()
+		w.End(reply.Held)
 	}
 	return reply, node.ForwardAnswered
 }
@@ -111,12 +111,12 @@
 	if err == nil {
 		if !reply.Held {
 			c.tx.way = nil
-			w.Release()
+			w.End(false)
 		}
 		return c.takeReply(reply, d, now)
 	}
 	c.tx.way = nil
-	w.Close()
+	w.End(true)
 	o := outcome{verdict: node.VerdictUnknown, reason: "the entry that held the transaction fell silent"}
 	if errors.Is(err, ErrNotSent) {
 		o.verdict = node.VerdictNotRun
@@ -144,8 +144,8 @@
 	s.decided(d)
 }
 
-// ServeForwarded runs the requests that another entry passes on, one after the
-// other, until receive fails.
+// ServeForwarded runs a request that another entry passes on, and those behind
+// it while they are of one transaction.
 func (s *Server) ServeForwarded(from catalog.VMID, receive func() (Forwarded, error), reply func(ForwardReply) error) {
 	c := &session{server: s, from: from}
 	defer c.drop()
@@ -155,9 +155,10 @@
 			return
 		}
 		s.forwards.Add(1)
-		err = reply(c.runForwarded(f))
+		r := c.runForwarded(f)
+		err = reply(r)
 		s.forwards.Add(-1)
-		if err != nil {
+		if err != nil || !r.Held {
 			return
 		}
 	}
--- a/session/forward_test.go
+++ b/session/forward_test.go
@@ -66,11 +66,13 @@
 	}
 	f.ways++
 	there := &session{server: f.behind, from: "a"}
-	end := func() {
-		f.closed++
-		there.drop()
+	end := func(isHeld bool) {
+		if isHeld {
+			f.closed++
+			there.drop()
+		}
 	}
-	return &Way{To: to, Release: func() {}, Close: end, Exchange: func(q Forwarded, _ time.Time) (ForwardReply, error) {
+	return &Way{To: to, End: end, Exchange: func(q Forwarded, _ time.Time) (ForwardReply, error) {
 		if f.lost {
 			return ForwardReply{}, errors.New("it fell silent")
 		}
--- a/session/session.go
+++ b/session/session.go
@@ -158,7 +158,7 @@
 		return
 	}
 	if c.tx.way != nil {
-		c.tx.way.Close()
+		c.tx.way.End(true)
 		c.tx.way = nil
 	}
 	if c.tx.held == 0 {
