node: weigh the answers of a survey before a new one begins

Cause: with two upstreams of a group out of reach the last answer to a survey is that one of them is silent, just before the survey ends. Found from the logs: a change of primary that begins and no promotion asked for.

Change: decide first, then ask again. The test has the two silent ones answer 5 ms before the survey ends and failed before.

--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -13,10 +13,13 @@
 // survey asks the instances of the group how far they are, all after the
 // fence, so that nothing acknowledged can be newer than the answers.
 func (c *Control) survey(s catalog.Service, f *failover) {
+	// The last answer may say no more than that an upstream is silent: what the
+	// others said must be weighed before it is dropped for a new survey.
+	if c.decide(s, f) {
+		return
+	}
 	if f.surveyAt <= c.now && len(f.surveys) == 0 {
 		c.askAll(s, f)
-	}
-	if c.decide(s, f) {
 		return
 	}
 	if len(f.surveys) > 0 && f.surveyEnds <= c.now {
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -64,6 +64,29 @@
 	})
 }
 
+func TestFailoverWithTwoUpstreamsGone(t *testing.T) {
+	Convey("a primary is replaced by the only one left, though the others' silence is told before the survey ends", t, func() {
+		o := newBench(t, catalog.AckPrimary)
+		o.lead()
+		delete(o.positions, "a")
+		delete(o.positions, "b")
+		for _, vm := range []catalog.VMID{"e1", "e2", "e3"} {
+			o.report(vm, refused(0, 50*ms))
+			o.fence(vm)
+		}
+		for range 200 {
+			o.advance(5 * ms)
+			for _, e := range o.all {
+				if v, ok := e.(Survey); ok && o.positions[v.Instance].Zero() && v.Deadline.Sub(o.now) == 5*ms {
+					o.feed(Surveyed{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceSilent})
+				}
+			}
+		}
+		So(o.primary().Instance, ShouldEqual, catalog.InstanceID("c"))
+		So(o.primary().Ready, ShouldBeTrue)
+	})
+}
+
 func TestFenceCheckIsSeenToFail(t *testing.T) {
 	o := newBench(t, catalog.AckPrimary)
 	o.lead()
