node, session: short forwarded requests; a stop waits for transactions held elsewhere

Cause: an entry has 2 Mbit/s, so that the 220 bytes of a forwarded read cost 1.8 ms of two links. Ruled out: waiting for all sessions to leave (a resting caller may stay).

Change: what the route and the statement need, in milliseconds and without repeats, 69 bytes; the session tells the reducer when another entry holds a transaction and when it has ended. Pre-votes are asked again sooner while they are not won; what a caller waited for the first configuration counts.

--- a/link/channel_test.go
+++ b/link/channel_test.go
@@ -132,3 +132,23 @@
 		t.Fatal("there is a channel to nobody")
 	}
 }
+
+func BenchmarkTalk(b *testing.B) {
+	peers := map[catalog.VMID]string{}
+	t := &testing.T{}
+	serveTalks(t, "b", peers)
+	from, _ := serveTalks(t, "a", peers)
+	channels := NewChannels(from)
+	c, err := channels.Open("b")
+	if err != nil {
+		b.Fatal(err)
+	}
+	text := strings.Repeat("x", 150)
+	for range b.N {
+		k := c.Begin()
+		if _, err := ask(k, text, time.Second); err != nil {
+			b.Fatal(err)
+		}
+		k.End(true)
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -164,6 +164,8 @@
 		e.takeDone(v)
 	case ForwardDone:
 		e.takeForwarded(v)
+	case ForwardEnded:
+		delete(e.owners.away, v.Request)
 	case TransactionDropped:
 		e.takeDropped(v)
 	case ConnOpened:
--- a/node/entry_drain.go
+++ b/node/entry_drain.go
@@ -62,7 +62,12 @@
 	e.emit(Stopped{})
 }
 
+// holdsTransaction reports whether a caller's transaction is open, be it held
+// here or by another entry.
 func (e *Entry) holdsTransaction() bool {
+	if len(e.owners.away) > 0 {
+		return true
+	}
 	for _, id := range e.order {
 		for _, i := range e.services[id].instances {
 			for _, c := range i.conns {
--- a/node/entry_listed_test.go
+++ b/node/entry_listed_test.go
@@ -66,6 +66,9 @@
 		case OpenConn:
 			w.conns[v.Conn] = v.Instance
 			w.step(ConnOpened{Conn: v.Conn})
+		case CloseConn:
+			w.effects = append(w.effects, e)
+			w.step(ConnLost{Conn: v.Conn})
 		case ReadinessChanged:
 			w.ready = v.Ready
 		default:
--- a/node/entry_owner.go
+++ b/node/entry_owner.go
@@ -45,6 +45,9 @@
 	awaitedUntil catalog.Instant
 	// avoided says until when an entry gets no requests.
 	avoided map[catalog.VMID]catalog.Instant
+	// away are the transactions of this entry's callers that others hold, by
+	// the request that began each.
+	away map[catalog.RequestID]bool
 }
 
 // takeEntries takes control's list of the entries of the site.
@@ -154,6 +157,9 @@
 	switch v.Outcome {
 	case ForwardAnswered:
 		delete(e.requests, r.Request)
+		if v.Held {
+			e.owners.hold(r.Request)
+		}
 		e.count("forwards")
 	case ForwardDeclined:
 		e.avoidEntry(to, avoidDeclined)
@@ -170,6 +176,13 @@
 	}
 }
 
+func (o *entryOwners) hold(r catalog.RequestID) {
+	if o.away == nil {
+		o.away = map[catalog.RequestID]bool{}
+	}
+	o.away[r] = true
+}
+
 func (e *Entry) avoidEntry(vm catalog.VMID, d time.Duration) {
 	o := &e.owners
 	if o.avoided == nil {
--- a/node/entry_owner_test.go
+++ b/node/entry_owner_test.go
@@ -81,6 +81,16 @@
 			to, _ = w.forwarded(3)
 			So(to, ShouldEqual, first)
 		})
+		Convey("a stop waits for a transaction that is held there", func() {
+			w.step(ForwardDone{Request: 1, Outcome: ForwardAnswered, Held: true})
+			w.effects = nil
+			w.step(DrainAsked{})
+			w.pass(time.Second)
+			So(w.effects, ShouldNotContain, Stopped{})
+			w.step(ForwardEnded{Request: 1})
+			w.pass(100 * time.Millisecond)
+			So(w.effects, ShouldContain, Stopped{})
+		})
 		Convey("nothing more is said of one that was answered there", func() {
 			w.effects = nil
 			w.step(ForwardDone{Request: 1, Outcome: ForwardAnswered})
--- a/node/event.go
+++ b/node/event.go
@@ -205,6 +205,15 @@
 type ForwardDone struct {
 	Request catalog.RequestID
 	Outcome ForwardOutcome
+	// Held is set if the request began a transaction that the other entry holds
+	// for this one's caller. ForwardEnded follows.
+	Held bool
+}
+
+// ForwardEnded says that a transaction which another entry held has ended. The
+// request is the one that began it.
+type ForwardEnded struct {
+	Request catalog.RequestID
 }
 
 // Persisted follows Persist.
@@ -253,6 +262,7 @@
 
 func (ConnSettled) input()        {}
 func (ForwardDone) input()        {}
+func (ForwardEnded) input()       {}
 func (SeedsChanged) input()       {}
 func (TimerFired) input()         {}
 func (PeerReceived) input()       {}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -44,6 +44,18 @@
 	g.electionAt = g.now.Add(g.settings.Election + time.Duration(g.random.Int64N(spread)))
 }
 
+// armSounding sets when to ask again if this one is not won. Asking harms
+// nobody, and after a start of all members the vote is won as soon as enough of
+// them may give theirs.
+func (g *Group) armSounding() {
+	part := max(g.settings.Election/soundings, 1)
+	g.electionAt = g.now.Add(part + time.Duration(g.random.Int64N(int64(part))))
+}
+
+// soundings is how many times at most pre-votes are asked for in the time that
+// an election takes.
+const soundings = 4
+
 // follow enters a ballot, or stays in it, behind a leader that may be unknown.
 func (g *Group) follow(ballot Ballot, leader catalog.VMID) {
 	if ballot > g.vote.Ballot {
@@ -64,7 +76,7 @@
 // sound asks whether a vote would be won, without raising the ballot.
 func (g *Group) sound() {
 	g.role, g.leader, g.votes = rolePreCandidate, "", map[catalog.VMID]bool{}
-	g.armElection()
+	g.armSounding()
 	g.out.Send = append(g.out.Send, g.ask(KindPreVote, g.vote.Ballot+1, false)...)
 	g.count(g.own.VM)
 }
--- a/session/forward.go
+++ b/session/forward.go
@@ -10,34 +10,68 @@
 )
 
 // Forwarded is a request that one entry passes on to another, with all of the
-// session that it depends on.
+// route and of the session that it depends on. It is kept short, since an entry
+// may have no more than 2 Mbit/s: times are whole milliseconds.
 type Forwarded struct {
-	Database string `cbor:"1,keyasint"`
-	// Route is the one in force where the caller is connected. Its Timeout is
-	// what is left of it.
-	Route     catalog.Route     `cbor:"2,keyasint"`
-	Kind      node.RequestKind  `cbor:"3,keyasint"`
-	Statement Statement         `cbor:"4,keyasint"`
-	Values    map[string]string `cbor:"5,keyasint,omitempty"`
-	// Shape and Writes are those of the prepared statement that Statement
-	// executes.
-	Shape  string           `cbor:"6,keyasint,omitempty"`
-	Writes bool             `cbor:"7,keyasint,omitempty"`
-	Floor  catalog.Position `cbor:"8,keyasint"`
-	// Waited is how long the caller has waited already.
-	Waited time.Duration `cbor:"9,keyasint"`
+	ID   string           `cbor:"1,keyasint"`
+	Verb Verb             `cbor:"2,keyasint"`
+	Kind node.RequestKind `cbor:"3,keyasint,omitempty"`
+	// Text is the statement, or the arguments of a prepared one.
+	Text     string            `cbor:"4,keyasint,omitempty"`
+	Service  catalog.ServiceID `cbor:"5,keyasint"`
+	Database string            `cbor:"6,keyasint"`
+	// PrimaryOnly, MaxAge, Objective and Priority are those of the route in
+	// force where the caller is connected.
+	PrimaryOnly bool  `cbor:"7,keyasint,omitempty"`
+	MaxAge      int64 `cbor:"8,keyasint,omitempty"`
+	Objective   int64 `cbor:"9,keyasint,omitempty"`
+	Priority    int   `cbor:"10,keyasint,omitempty"`
+	// Left is what is left of the time for the statement, Waited how long the
+	// caller has waited for it already.
+	Left   int64 `cbor:"11,keyasint"`
+	Waited int64 `cbor:"12,keyasint,omitempty"`
+	// Floor is the position that the session's reads must cover, if the route
+	// asks for that.
+	Floor catalog.Position `cbor:"13,keyasint,omitempty"`
+	// Values are those of the session, Shape and Writes are of the prepared
+	// statement that is executed.
+	Values map[string]string `cbor:"14,keyasint,omitempty"`
+	Shape  string            `cbor:"15,keyasint,omitempty"`
+	Writes bool              `cbor:"16,keyasint,omitempty"`
 }
 
+// statement is the one to run.
+func (f *Forwarded) statement() Statement {
+	if f.Verb == VerbExecute {
+		return Statement{ID: f.ID, Verb: f.Verb, Value: f.Text}
+	}
+	return Statement{ID: f.ID, Verb: f.Verb, Text: f.Text}
+}
+
+// route is what the request needs of its route.
+func (f *Forwarded) route() catalog.Route {
+	r := catalog.Route{
+		RouteKey: catalog.RouteKey{Database: f.Database}, Service: f.Service, Reads: catalog.ReadsOwnWrites, Priority: f.Priority,
+		MaxAge: milliseconds(f.MaxAge), Objective: milliseconds(f.Objective), Timeout: milliseconds(f.Left),
+	}
+	if f.PrimaryOnly {
+		r.Reads = catalog.ReadsPrimary
+	}
+	return r
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // ForwardReply is the other entry's answer.
 type ForwardReply struct {
 	// Declined is set if the request has not run there and will not; nothing
 	// else is set then.
 	Declined   bool             `cbor:"1,keyasint,omitempty"`
-	Verdict    node.Verdict     `cbor:"2,keyasint"`
+	Verdict    node.Verdict     `cbor:"2,keyasint,omitempty"`
 	Body       []byte           `cbor:"3,keyasint,omitempty"`
-	Code       Code             `cbor:"4,keyasint"`
-	Position   catalog.Position `cbor:"5,keyasint"`
-	Floor      catalog.Position `cbor:"6,keyasint"`
+	Code       Code             `cbor:"4,keyasint,omitempty"`
+	Position   catalog.Position `cbor:"5,keyasint,omitempty"`
+	Floor      catalog.Position `cbor:"6,keyasint,omitempty"`
 	Reason     string           `cbor:"7,keyasint,omitempty"`
 	RetryAfter time.Duration    `cbor:"8,keyasint,omitempty"`
 	Late       bool             `cbor:"9,keyasint,omitempty"`
@@ -62,12 +96,16 @@
 func (c *session) forwarded(st Statement, route catalog.Route, kind node.RequestKind, deadline catalog.Instant) Forwarded {
 	left := max(deadline.Sub(c.server.options.Now()), 0)
 	f := Forwarded{
-		Database: c.database, Route: route, Kind: kind, Statement: st, Values: c.values, Floor: c.floor,
-		Waited: max(route.Timeout-left, 0),
+		ID: st.ID, Verb: st.Verb, Kind: kind, Text: st.Text, Service: route.Service, Database: c.database,
+		PrimaryOnly: route.Reads == catalog.ReadsPrimary, Priority: route.Priority, Values: c.values,
+		MaxAge: route.MaxAge.Milliseconds(), Objective: route.Objective.Milliseconds(), Left: left.Milliseconds(),
+		Waited: (max(route.Timeout-left, 0) + c.waited).Milliseconds(),
+	}
+	if route.Reads == catalog.ReadsOwnWrites {
+		f.Floor = c.floor
 	}
-	f.Route.Timeout = left
 	if st.Verb == VerbExecute {
-		f.Shape, f.Writes = c.names[st.Name].shape, c.names[st.Name].writes
+		f.Text, f.Shape, f.Writes = st.Value, c.names[st.Name].shape, c.names[st.Name].writes
 	}
 	return f
 }
@@ -77,7 +115,7 @@
 const forwardReserve = 500 * time.Millisecond
 
 // forward has another entry run a request.
-func (c *session) forward(to catalog.VMID, f Forwarded, deadline catalog.Instant) (ForwardReply, node.ForwardOutcome) {
+func (c *session) forward(id catalog.RequestID, to catalog.VMID, f Forwarded, deadline catalog.Instant) (ForwardReply, node.ForwardOutcome) {
 	w, err := c.server.options.Way(to)
 	if err != nil {
 		return ForwardReply{}, node.ForwardDeclined
@@ -94,13 +132,23 @@
 		w.End(false)
 		return ForwardReply{}, node.ForwardDeclined
 	case reply.Held && c.tx != nil:
-		c.tx.way = w
+		c.tx.way, c.tx.began = w, id
 	default:
 		w.End(reply.Held)
 	}
 	return reply, node.ForwardAnswered
 }
 
+// leave ends the way to the entry that holds the transaction, if one does.
+func (c *session) leave(isHeld bool) {
+	if c.tx.way == nil {
+		return
+	}
+	c.tx.way.End(isHeld)
+	c.tx.way = nil
+	c.server.options.Feed(node.ForwardEnded{Request: c.tx.began})
+}
+
 // requestThere runs a statement of a transaction that another entry holds.
 func (c *session) requestThere(st Statement, route catalog.Route, d Decision) outcome {
 	now := c.server.options.Now()
@@ -110,13 +158,11 @@
 	reply, err := w.Exchange(c.forwarded(st, route, node.KindInside, deadline), c.server.options.Pool.wallTime(deadline.Add(forwardReserve)))
 	if err == nil {
 		if !reply.Held {
-			c.tx.way = nil
-			w.End(false)
+			c.leave(false)
 		}
 		return c.takeReply(reply, d, now)
 	}
-	c.tx.way = nil
-	w.End(true)
+	c.leave(true)
 	o := outcome{verdict: node.VerdictUnknown, reason: "the entry that held the transaction fell silent"}
 	if errors.Is(err, ErrNotSent) {
 		o.verdict = node.VerdictNotRun
@@ -177,12 +223,13 @@
 			return ForwardReply{Declined: true}
 		}
 	}
+	route, st := f.route(), f.statement()
 	if f.Kind == node.KindBegin || f.Kind == node.KindBeginRead {
-		c.tx = &transaction{route: f.Route, readOnly: f.Kind == node.KindBeginRead}
+		c.tx = &transaction{route: route, readOnly: f.Kind == node.KindBeginRead}
 	}
-	c.database, c.values, c.floor, c.waited = f.Database, f.Values, f.Floor, f.Waited
-	c.names = map[string]prepared{f.Statement.Name: {writes: f.Writes, shape: f.Shape}}
-	o := c.request(f.Statement, f.Route, f.Kind)
+	c.database, c.values, c.floor, c.waited = f.Database, f.Values, f.Floor, milliseconds(f.Waited)
+	c.names = map[string]prepared{st.Name: {writes: f.Writes, shape: f.Shape}}
+	o := c.request(st, route, f.Kind)
 	if o.elsewhere {
 		c.tx = nil
 		return ForwardReply{Declined: true}
--- a/session/forward_test.go
+++ b/session/forward_test.go
@@ -24,6 +24,8 @@
 	outcomes []node.ForwardOutcome
 	ways     int
 	closed   int
+	// away counts the transactions that the reducer believes to be held there.
+	away int
 }
 
 // newForwardingRig returns a rig whose caller is connected to a front.
@@ -49,8 +51,13 @@
 	switch v := in.(type) {
 	case node.RequestArrived:
 		f.server.Deliver(v.Request, node.ForwardRequest{Request: v.Request, To: "b"})
+	case node.ForwardEnded:
+		f.away--
 	case node.ForwardDone:
 		f.outcomes = append(f.outcomes, v.Outcome)
+		if v.Held {
+			f.away++
+		}
 		switch v.Outcome {
 		case node.ForwardDeclined:
 			f.server.Deliver(v.Request, node.AnswerRequest{Request: v.Request, Verdict: node.VerdictNotRun})
@@ -139,6 +146,8 @@
 		g.ask(beginOne)
 		So(g.ask(writeSeven).Code, ShouldEqual, CodeNone)
 		So(g.held, ShouldBeTrue)
+		So(f.away, ShouldEqual, 1)
+		Reset(func() { So(f.away, ShouldEqual, 0) })
 		Convey("while that is stopping too", func() {
 			g.server.Drain()
 			g.expect("c1 commit = ok idle")
@@ -173,7 +182,7 @@
 	Convey("a statement of a transaction that is not there any more has not run", t, func() {
 		g := newRig(t)
 		there := &session{server: g.server, from: "a"}
-		r := there.runForwarded(Forwarded{Kind: node.KindInside, Statement: commitOne})
+		r := there.runForwarded(Forwarded{ID: "c1", Verb: VerbCommit, Kind: node.KindInside, Text: "commit"})
 		So(r.Declined, ShouldBeFalse)
 		So(r.Verdict, ShouldEqual, node.VerdictNotRun)
 	})
--- a/session/request.go
+++ b/session/request.go
@@ -112,8 +112,8 @@
 			}
 		case node.ForwardRequest:
 			d.Via = v.To
-			reply, how := c.forward(v.To, c.forwarded(st, route, kind, in.Deadline), in.Deadline)
-			c.server.options.Feed(node.ForwardDone{Request: id, Outcome: how})
+			reply, how := c.forward(id, v.To, c.forwarded(st, route, kind, in.Deadline), in.Deadline)
+			c.server.options.Feed(node.ForwardDone{Request: id, Outcome: how, Held: c.tx != nil && c.tx.way != nil})
 			if how == node.ForwardAnswered {
 				return c.takeReply(reply, d, now)
 			}
--- a/session/session.go
+++ b/session/session.go
@@ -36,8 +36,8 @@
 	tx    *transaction
 	// from is the entry whose requests run here, empty for a caller's session.
 	from catalog.VMID
-	// waited is how long the caller of that entry has waited for the request
-	// that runs.
+	// waited is how long the caller has waited before its next request reached
+	// this process.
 	waited time.Duration
 	// active is when the caller was answered last.
 	active time.Time
@@ -49,8 +49,10 @@
 	readOnly bool
 	// held is the upstream connection, zero before the first statement.
 	held catalog.ConnID
-	// way leads to the entry that holds it, nil if none does.
-	way *Way
+	// way leads to the entry that holds it, nil if none does, and began is the
+	// request that was passed on there first.
+	way   *Way
+	began catalog.RequestID
 	// wrote is set once a write was sent.
 	wrote  bool
 	failed bool
@@ -83,6 +85,10 @@
 			return
 		}
 		c.active = time.Now()
+		if c.tx != nil || st.Verb == VerbRead || st.Verb == VerbWrite || st.Verb == VerbExecute {
+			// The next operation begins without what this one had waited.
+			c.waited = 0
+		}
 		if c.isOver() {
 			return
 		}
@@ -99,10 +105,12 @@
 		c.link.Refuse(CodeBusy, "this entry is cut off; connect again")
 		return false
 	}
+	began := time.Now()
 	if !c.server.routes.await(awaitRoutes) {
 		c.link.Refuse(CodeBusy, "the entry has no configuration yet")
 		return false
 	}
+	c.waited = time.Since(began)
 	if _, ok := c.server.routes.find(database); !ok {
 		c.server.decided(Decision{Database: database, Verdict: "no-database"})
 		c.link.Refuse(CodeNoDatabase, "no database has this name")
@@ -157,10 +165,7 @@
 	if c.tx == nil {
 		return
 	}
-	if c.tx.way != nil {
-		c.tx.way.End(true)
-		c.tx.way = nil
-	}
+	c.leave(true)
 	if c.tx.held == 0 {
 		return
 	}
