session, daemon, node: a stopping entry serves until it is out of rotation

Change: not ready at once, and nothing for other entries; callers are served for 2.2 s more (a third of a short stop); then sessions end at rest, or after 0.3 s right behind an answer, and the process waits for them. A caller whose transaction is cut hears of it with its next statement. An entry without control keeps its callers as long, serves what it can, and is out of rotation after 0.6 s instead of 1 s; a leader that is silent for half a report's time is not the only one asked; leases 650 ms, suspicion 600 ms.

--- a/cmd/kingcupknot-soak/main.go
+++ b/cmd/kingcupknot-soak/main.go
@@ -23,7 +23,7 @@
 	Base    uint64        `long:"seed-base" default:"1" description:"the first seed"`
 	Length  time.Duration `long:"length" default:"12s" description:"time with faults for each seed"`
 	Control int           `long:"control" default:"3" description:"control processes"`
-	Entries int           `long:"entries" default:"3" description:"entry processes"`
+	Entries int           `long:"entries" default:"6" description:"entry processes"`
 	Callers int           `long:"callers" default:"24" description:"callers"`
 	Lanes   int           `long:"lanes" default:"1" description:"seeds that run side by side"`
 }
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -41,16 +41,16 @@
 		Report:       200 * time.Millisecond,
 		Probe:        300 * time.Millisecond,
 		ProbeTimeout: 300 * time.Millisecond,
-		Suspect:      700 * time.Millisecond,
-		// A lease outlasts a change of the control leader: two elections, and
-		// three reports until an entry looks for the next.
-		Lease:    900 * time.Millisecond,
+		Suspect:      600 * time.Millisecond,
+		// A lease outlasts a change of the control leader: an election of twice
+		// the shortest time, and a report that asks the others.
+		Lease:    650 * time.Millisecond,
 		Drift:    50 * time.Millisecond,
 		Announce: 4 * time.Second,
 		// Three heartbeats, or a standstill, fit into an election.
 		Heartbeat: 60 * time.Millisecond,
 		Election:  200 * time.Millisecond,
-		Drain:     s.StopTime - stopReserve,
+		Drain:     s.StopTime - s.LeaveTime() - stopReserve,
 		// Upstreams bound their connections themselves, so that grants need
 		// not end as fast as leases.
 		Grant: 10 * time.Second,
@@ -230,7 +230,11 @@
 // asked to stop, end after it has.
 func (h *hosted) wait(ctx context.Context, drain <-chan struct{}, begin, end func()) error {
 	h.watchSettings(ctx)
-	return h.await(ctx, drain, h.settings.StopTime, func() {
+	most := h.settings.StopTime
+	if h.settings.ControlAddress == "" {
+		most -= h.settings.LeaveTime()
+	}
+	return h.await(ctx, drain, most, func() {
 		h.log.Info("A planned stop begins.", "part", "daemon")
 		begin()
 		h.loop.Feed(node.DrainAsked{})
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -32,22 +32,16 @@
 	callers := session.NewServer(session.Options{
 		Feed: h.loop.Feed, Now: h.clock.Now, Pool: pool, Decided: h.decided,
 		Way:        func(to catalog.VMID) (*session.Way, error) { return h.way(channels, to) },
-		MaxCallers: max(h.settings.MaxFiles-filesReserved, filesReserved), Grace: h.settings.StopTime,
+		MaxCallers: max(h.settings.MaxFiles-filesReserved, filesReserved),
 	})
 	h.join()
 	channels = link.NewChannels(h.hub)
-	forwards := h.hub.HandleChannels(func(q link.Questions) {
-		callers.ServeForwarded(q.From, func() (session.Forwarded, error) {
-			var f session.Forwarded
-			err := q.Next(&f)
-			return f, err
-		}, func(r session.ForwardReply) error { return q.Answer(r) })
-	})
-	if err := h.connect(map[string]http.Handler{link.ChannelPath: forwards}); err != nil {
+	if err := h.connect(map[string]http.Handler{link.ChannelPath: h.hub.HandleChannels(serveForwarded(callers))}); err != nil {
 		return errors.Trace(err)
 	}
-	var ready atomic.Bool
-	if err := h.listen(h.settings.ReadyAddress, platform.Readiness(ready.Load)); err != nil {
+	var ready, leaving atomic.Bool
+	isReady := func() bool { return ready.Load() && !leaving.Load() }
+	if err := h.listen(h.settings.ReadyAddress, platform.Readiness(isReady)); err != nil {
 		return errors.Trace(err)
 	}
 	listener, err := h.accept(ctx, h.settings.CallerAddress, func(c net.Conn) { callers.Serve(platform.NewLink(c)) })
@@ -73,23 +67,35 @@
 			h.log.Info("A configuration is in force.", "part", "entry", "version", uint64(v.Version), "routes", len(v.Routes))
 		case node.ReadinessChanged:
 			ready.Store(v.Ready)
-			callers.Release(!v.Ready)
-			h.log.Info("The readiness changed.", "part", "entry", "ready", v.Ready, "cause", v.Reason)
+			callers.Release(v.Release)
+			h.log.Info("The readiness changed.", "part", "entry", "ready", v.Ready, "release", v.Release, "cause", v.Reason)
 		default:
 			h.runCommon(e)
 		}
 	})
 	h.loop.Feed(node.TimerFired{})
 	h.log.Info("The process runs as entry.", "part", "daemon", "seeds", h.settings.Seeds)
+	var stopBy time.Time
 	return h.wait(ctx, drain, func() {
-		ready.Store(false)
-		callers.Drain()
+		leaving.Store(true)
+		stopBy = h.leave(ctx, listener, callers)
 	}, func() {
-		_ = listener.Close()
-		letLeave(ctx, stopReserve/2, callers.Idle)
+		letLeave(ctx, time.Until(stopBy), callers.Idle)
 	})
 }
 
+// leave begins a planned stop and returns when it must be over. New callers come
+// until the platform has seen that this entry is not ready. Whatever they ask is
+// served.
+func (h *hosted) leave(ctx context.Context, listener net.Listener, callers *session.Server) time.Time {
+	began := time.Now()
+	callers.Leave()
+	pause(ctx, h.settings.LeaveTime())
+	_ = listener.Close()
+	callers.Drain(began.Add(h.settings.StopTime / 2))
+	return began.Add(h.settings.StopTime - stopReserve)
+}
+
 func (h *hosted) poolOptions() session.PoolOptions {
 	return session.PoolOptions{
 		Feed: func(in node.Input) { h.loop.Feed(in) }, Now: h.clock.Now,
@@ -116,6 +122,17 @@
 	h.log.Info("A request was decided.", pairs...)
 }
 
+// serveForwarded runs what other entries of the site pass on.
+func serveForwarded(callers *session.Server) func(link.Questions) {
+	return func(q link.Questions) {
+		callers.ServeForwarded(q.From, func() (session.Forwarded, error) {
+			var f session.Forwarded
+			err := q.Next(&f)
+			return f, err
+		}, func(r session.ForwardReply) error { return q.Answer(r) })
+	}
+}
+
 // way leads to another entry of the site.
 func (h *hosted) way(channels *link.Channels, to catalog.VMID) (*session.Way, error) {
 	c, err := channels.Open(to)
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// pause waits, unless the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // openLog opens the log of a data folder. Initialise fills an empty one.
 func openLog(folder string, initialise func(*wal.Log) error) (*wal.Log, quorum.Saved, error) {
 	store, err := wal.Open(folder)
--- a/node/effect.go
+++ b/node/effect.go
@@ -163,6 +163,8 @@
 type ReadinessChanged struct {
 	Ready  bool
 	Reason string
+	// Release is set if callers should connect elsewhere by now.
+	Release bool
 }
 
 // Stopped says that a planned stop is complete; the process may exit.
--- a/node/entry.go
+++ b/node/entry.go
@@ -64,8 +64,11 @@
 	upstreamsAt wire.UpstreamsMark
 	// seeds are the control VMs of the own settings.
 	seeds []catalog.VMID
-	// ready is what the shell was told last.
-	ready bool
+	// ready is what the shell was told last, unreadySince when it ceased to be
+	// so, and released is set once the callers were asked to go elsewhere.
+	ready        bool
+	unreadySince catalog.Instant
+	released     bool
 	// drained lists the upstreams that operators keep new work from.
 	drained  []catalog.InstanceID
 	services map[catalog.ServiceID]*entryService
@@ -209,6 +212,7 @@
 	e.settleCatchUp()
 	e.settleDrain()
 	e.settleReport()
+	e.askOthers()
 	e.settleReadiness()
 	e.settleTimer()
 }
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -68,15 +68,22 @@
 	// askSeedsAfter is how long the known control VMs may be silent before
 	// those of the settings are asked too: longer than a change of leader.
 	askSeedsAfter = 1500 * time.Millisecond
-	// cutOffAfter is for how many reports no control VM may know a leader
-	// before this entry counts as cut off. A change of leader takes less.
-	cutOffAfter = 5
+	// releaseAfter is how long an entry that is not ready keeps its callers: as
+	// long as new connections are still sent to it, two polls a second apart.
+	// Until then it serves what it can without control.
+	releaseAfter = 2200 * time.Millisecond
 )
 
 // isCutOff reports whether no control VM has known a leader for some reports. One
 // in the same site may answer all the while when the site is cut off.
 func (e *Entry) isCutOff() bool {
-	return e.now.Sub(e.report.ledAt) > cutOffAfter*e.options.Timings.Report
+	return e.now.Sub(e.report.ledAt) > e.cutOffAfter()
+}
+
+// cutOffAfter is for how long no control VM may know a leader: a change of
+// leader, of which a report tells.
+func (e *Entry) cutOffAfter() time.Duration {
+	return 2*e.options.Timings.Election + e.options.Timings.Report
 }
 
 // settleReadiness tells the shell when this entry begins or ceases to be able
@@ -92,12 +99,24 @@
 		reason = "control is out of reach"
 	}
 	if e.options.ListsUpstreams && e.ready {
-		e.wake(e.report.ledAt.Add(cutOffAfter*e.options.Timings.Report + 1))
+		e.wake(e.report.ledAt.Add(e.cutOffAfter() + 1))
 	}
-	if ready := reason == ""; ready != e.ready {
-		e.ready = ready
+	ready := reason == ""
+	if ready != e.ready {
+		e.ready, e.unreadySince = ready, e.now
+		e.released = false
 		e.emit(ReadinessChanged{Ready: ready, Reason: reason})
+		return
+	}
+	if ready || e.released || !e.catchUp.inForce || e.leaving {
+		return
+	}
+	if until := e.unreadySince.Add(releaseAfter); until.After(e.now) {
+		e.wake(until)
+		return
 	}
+	e.released = true
+	e.emit(ReadinessChanged{Reason: reason, Release: true})
 }
 
 // listedReplicas returns the replicas for a read whose floor the upstream
--- a/node/entry_listed_test.go
+++ b/node/entry_listed_test.go
@@ -22,9 +22,13 @@
 	primary catalog.Primary
 	effects []Effect
 	ready   bool
-	timer   catalog.Instant
-	conns   map[catalog.ConnID]catalog.InstanceID
-	granted int
+	// released is set once the callers were asked to go elsewhere, silent are
+	// control VMs that do not answer.
+	released bool
+	silent   map[catalog.VMID]bool
+	timer    catalog.Instant
+	conns    map[catalog.ConnID]catalog.InstanceID
+	granted  int
 }
 
 func newListedEntry() *listedEntry {
@@ -70,7 +74,7 @@
 			w.effects = append(w.effects, e)
 			w.step(ConnLost{Conn: v.Conn})
 		case ReadinessChanged:
-			w.ready = v.Ready
+			w.ready, w.released = v.Ready, v.Release
 		default:
 			w.effects = append(w.effects, e)
 		}
@@ -79,7 +83,7 @@
 
 func (w *listedEntry) report(v SendPeer) {
 	r := v.Message.Report
-	if r == nil || !w.on {
+	if r == nil || !w.on || w.silent[v.To] {
 		return
 	}
 	a := w.answer
@@ -161,6 +165,43 @@
 	})
 }
 
+func TestListedRelease(t *testing.T) {
+	Convey("an entry that is cut off keeps its callers while new ones still come", t, func() {
+		w := newListedEntry()
+		w.on = false
+		w.pass(time.Second)
+		So(w.ready, ShouldBeFalse)
+		So(w.released, ShouldBeFalse)
+		Convey("and asks them to go elsewhere after that", func() {
+			w.pass(releaseAfter)
+			So(w.released, ShouldBeTrue)
+		})
+		Convey("or keeps them if it is in touch again", func() {
+			w.on = true
+			w.pass(releaseAfter)
+			So(w.ready, ShouldBeTrue)
+			So(w.released, ShouldBeFalse)
+		})
+	})
+}
+
+func TestListedAsksOthers(t *testing.T) {
+	Convey("an entry whose leader falls silent finds the next one before its lease ends", t, func() {
+		w := newListedEntry()
+		So(w.entry.report.leader, ShouldEqual, catalog.VMID("c1"))
+		s := w.entry.services["orders"]
+		w.silent = map[catalog.VMID]bool{"c1": true}
+		w.pass(2 * w.entry.options.Timings.Report)
+		So(w.entry.report.leader, ShouldEqual, catalog.VMID("c2"))
+		So(s.unledSince, ShouldEqual, 0)
+	})
+	Convey("it is not led astray by one that names another while the leader answers", t, func() {
+		w := newListedEntry()
+		w.step(PeerReceived{From: "c2", Message: wire.Message{Answer: &wire.Answer{Leader: "c3", Refused: true, Sequence: w.entry.report.sequence}}})
+		So(w.entry.report.leader, ShouldEqual, catalog.VMID("c1"))
+	})
+}
+
 func TestListedProbes(t *testing.T) {
 	Convey("an upstream is probed soon while a request waits for it, and rarely else", t, func() {
 		w := newListedEntry()
--- a/node/entry_owner.go
+++ b/node/entry_owner.go
@@ -162,6 +162,11 @@
 		}
 		e.count("forwards")
 	case ForwardDeclined:
+		if e.isCutOff() {
+			// The others of the site are cut off as well.
+			e.refuse(r, "control is out of reach", e.options.Timings.Lease)
+			return
+		}
 		e.avoidEntry(to, avoidDeclined)
 		e.requeue(r)
 	case ForwardLost:
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// askOthersPart is the part of the time between two reports that the
+	// leader's answer may take.
+	askOthersPart = 2
 	// seekFactor is how much more often an entry without a leader reports.
 	seekFactor = 3
 	// reportsKept is how many reports may be answered late.
@@ -39,6 +42,8 @@
 	wasSent     bool
 	next        catalog.Instant
 	urgent      bool
+	// unsure is the last report, until it was sent to the others too.
+	unsure *wire.Report
 	// pending are the instances whose announcement control has to hear.
 	pending []*entryInstance
 	// wants were last told in the report wantsIn, at wantsAt.
@@ -96,6 +101,26 @@
 	e.wake(p.next)
 }
 
+// askOthers sends a report that the leader leaves unanswered to the other
+// control VMs too: one of them may lead by now, and all know whether there is a
+// leader.
+func (e *Entry) askOthers() {
+	p := &e.report
+	if !e.options.ListsUpstreams || e.stopped || p.unsure == nil || p.unanswered == 0 {
+		return
+	}
+	if at := p.last.Add(e.options.Timings.Report / askOthersPart); at.After(e.now) {
+		e.wake(at)
+		return
+	}
+	for _, vm := range e.controlVMs() {
+		if vm != p.leader {
+			e.emit(SendPeer{To: vm, Message: wire.Message{Report: p.unsure}})
+		}
+	}
+	p.unsure = nil
+}
+
 func (e *Entry) sendReport() {
 	p := &e.report
 	p.sequence++
@@ -114,7 +139,9 @@
 		p.setLeader("")
 	}
 	m := e.buildReport()
+	p.unsure = nil
 	if p.leader != "" {
+		p.unsure = m
 		e.emit(SendPeer{To: p.leader, Message: wire.Message{Report: m}})
 		return
 	}
@@ -272,7 +299,9 @@
 func (e *Entry) takeRefusal(from catalog.VMID, a wire.Answer) {
 	p := &e.report
 	if p.leader != "" && p.leader != from {
-		return
+		if !e.options.ListsUpstreams || p.unanswered == 0 || a.Leader == "" {
+			return
+		}
 	}
 	if a.Leader == p.leader && a.Leader != "" {
 		return
--- a/session/forward.go
+++ b/session/forward.go
@@ -219,7 +219,7 @@
 	} else {
 		c.drop()
 		c.tx = nil
-		if _, stopping := c.server.stopping(); stopping || c.server.released.Load() {
+		if c.server.leaving.Load() || c.server.released.Load() {
 			return ForwardReply{Declined: true}
 		}
 	}
--- a/session/forward_test.go
+++ b/session/forward_test.go
@@ -126,7 +126,7 @@
 	})
 	Convey("an entry that is stopping or cut off declines what is new to it", t, func() {
 		g, f := newFront(t)
-		g.server.Drain()
+		g.server.Leave()
 		So(g.ask(writeSeven).Code, ShouldEqual, CodeBusy)
 		So(f.outcomes, ShouldResemble, []node.ForwardOutcome{node.ForwardDeclined})
 	})
@@ -149,7 +149,7 @@
 		So(f.away, ShouldEqual, 1)
 		Reset(func() { So(f.away, ShouldEqual, 0) })
 		Convey("while that is stopping too", func() {
-			g.server.Drain()
+			g.server.Leave()
 			g.expect("c1 commit = ok idle")
 			So(g.ask(commitOne).Code, ShouldEqual, CodeNone)
 			So(f.ways, ShouldEqual, 1)
--- a/session/server.go
+++ b/session/server.go
@@ -38,8 +38,6 @@
 	Decided func(Decision)
 	// MaxCallers bounds the callers connected at a time.
 	MaxCallers int
-	// Grace is how long a planned stop may take.
-	Grace time.Duration
 }
 
 // Server holds the conversations with callers.
@@ -55,8 +53,12 @@
 	// stopBy is when open transactions are given up in a planned stop, in
 	// nanoseconds of the time of the runtime; zero while none is under way.
 	stopBy atomic.Int64
+	// drainedAt is when the planned stop began to end sessions.
+	drainedAt atomic.Int64
 	// released is set while callers should connect elsewhere.
 	released atomic.Bool
+	// leaving is set once a planned stop has begun.
+	leaving atomic.Bool
 	// forwards counts the requests that run here for other entries.
 	forwards atomic.Int64
 }
@@ -138,10 +140,16 @@
 	return len(s.sessions) == 0 && s.forwards.Load() == 0
 }
 
-// Drain begins a planned stop: sessions end when they are between operations,
-// and transactions have half of the grace to end.
-func (s *Server) Drain() {
-	s.stopBy.Store(time.Now().Add(s.options.Grace / 2).UnixNano())
+// Leave begins a planned stop: other entries get no work done here any more.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
+// Drain goes on with it: sessions end when they are between operations, and
+// transactions at the time given.
+func (s *Server) Drain(by time.Time) {
+	s.drainedAt.Store(time.Now().UnixNano())
+	s.stopBy.Store(by.UnixNano())
 	s.interrupt()
 }
 
@@ -162,6 +170,11 @@
 	}
 }
 
+// busyBy is when sessions are ended that do not rest.
+func (s *Server) busyBy() time.Time {
+	return time.Unix(0, s.drainedAt.Load()).Add(busyTime)
+}
+
 // stopping returns when transactions must have ended, if a stop is under way.
 func (s *Server) stopping() (time.Time, bool) {
 	at := s.stopBy.Load()
--- a/session/session.go
+++ b/session/session.go
@@ -18,6 +18,14 @@
 // connection closed under it.
 const restTime = 60 * time.Millisecond
 
+// busyTime is how long the sessions of callers that do not rest go on during a
+// planned stop; they are then ended right behind an answer.
+const busyTime = 300 * time.Millisecond
+
+// tellTime is how long a caller whose transaction was rolled back by a planned
+// stop may take until it sends the next statement and hears of it.
+const tellTime = 500 * time.Millisecond
+
 // awaitRoutes is how long a caller waits for this entry's first configuration.
 // Callers give up after two seconds.
 const awaitRoutes = 1500 * time.Millisecond
@@ -131,6 +139,9 @@
 		}
 	} else {
 		at = c.tx.restsUntil
+		if stopping && c.tx.failed {
+			stopBy = stopBy.Add(tellTime)
+		}
 		if stopping && (at.IsZero() || stopBy.Before(at)) {
 			at = stopBy
 		}
@@ -143,7 +154,7 @@
 	now := time.Now()
 	stopBy, stopping := c.server.stopping()
 	if c.tx == nil {
-		rests := now.Sub(c.active) >= restTime || stopping && now.After(stopBy)
+		rests := now.Sub(c.active) >= restTime || stopping && now.After(c.server.busyBy())
 		return (stopping || c.server.released.Load()) && rests && c.link.IsWaiting()
 	}
 	rested := !c.tx.restsUntil.IsZero() && now.After(c.tx.restsUntil)
@@ -151,7 +162,8 @@
 		c.fail()
 		c.tx.restsUntil = time.Time{}
 	}
-	return stopping && c.tx.failed && c.link.IsWaiting()
+	// The caller is told with its next statement, which it has time to send.
+	return stopping && c.tx.failed && now.After(stopBy.Add(tellTime)) && c.link.IsWaiting()
 }
 
 // fail rolls the transaction back; the caller can only end it.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -65,10 +65,9 @@
 	})
 	Convey("a planned stop lets a caller go only after it has rested", t, func() {
 		g := newRig(t)
-		g.server.options.Grace = time.Minute
 		g.expect("r1 read 7 = ok idle")
 		k := &scriptedLink{statements: []Statement{{ID: "r1", Verb: VerbRead, Text: "read 7"}}}
-		g.server.Drain()
+		g.server.Drain(time.Now().Add(time.Minute))
 		started := time.Now()
 		g.server.Serve(k.link())
 		So(k.answers, ShouldHaveLength, 2)
