daemon, commands: the command line reads a deployment on the platform

A control VM answers questions (status, history, settings) at its metrics address and passes them on to the leader; changes are refused there, they are the platform's operators'.

--- /dev/null
+++ b/commands/lease_list.go
@@ -0,0 +1,29 @@
+package commands
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcupknot/kingcupknot/node"
+)
+
+func init() {
+	register("lease list", "List the primaries with the leases on them", func(d *Desk) flags.Commander {
+		return &leaseList{desk: d}
+	})
+}
+
+type leaseList struct {
+	desk *Desk
+}
+
+// Execute lists how many entries may acknowledge writes of each primary, and
+// for how long the last of them may.
+func (c *leaseList) Execute([]string) error {
+	return c.desk.sendStatus(func(s *node.Status) {
+		t := newSheet(c.desk.Stdout, "SERVICE", "PRIMARY", "EPOCH", "HOLDERS", "LEFT", "PHASE")
+		for _, v := range s.Services {
+			t.row(v.Service.ID, v.Primary.Instance, v.Primary.Epoch, v.Holders, v.LeaseLeft, v.Phase)
+		}
+		t.end()
+	})
+}
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -121,8 +121,9 @@
 }
 
 // connect serves the other processes of the system, and scrapes. More are
-// further handlers for processes of the system, by path.
-func (h *hosted) connect(more map[string]http.Handler) error {
+// further handlers for processes of the system, by path; questions, if any, is
+// the handler of operators' questions.
+func (h *hosted) connect(more map[string]http.Handler, questions http.Handler) error {
 	peers := http.NewServeMux()
 	peers.Handle(link.Path, h.hub)
 	for path, handler := range more {
@@ -133,7 +134,10 @@
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", h.metrics.Handler())
-	return h.listen(h.settings.MetricsAddress(), metrics)
+	if questions != nil {
+		metrics.Handle("POST /v1/command", questions)
+	}
+	return h.listen(h.settings.MetricsAddress(h.settings.VM), metrics)
 }
 
 // accept hands the connections at an address to serve.
--- a/daemon/hosted_control.go
+++ b/daemon/hosted_control.go
@@ -48,7 +48,7 @@
 	asked := newAsker(h.loop.Feed)
 	asked.timeout = hostedCommandTime
 	h.join()
-	if err := h.connect(nil); err != nil {
+	if err := h.connect(nil, h.questions(asked)); err != nil {
 		return errors.Trace(err)
 	}
 	api := &platform.Control{Settings: h.settings, Ask: asked.ask, Log: h.log, Count: h.metrics.Count}
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -36,7 +36,7 @@
 	})
 	h.join()
 	channels = link.NewChannels(h.hub)
-	if err := h.connect(map[string]http.Handler{link.ChannelPath: h.hub.HandleChannels(serveForwarded(callers))}); err != nil {
+	if err := h.connect(map[string]http.Handler{link.ChannelPath: h.hub.HandleChannels(serveForwarded(callers))}, nil); err != nil {
 		return errors.Trace(err)
 	}
 	var ready, leaving atomic.Bool
--- /dev/null
+++ b/daemon/hosted_questions_test.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/node"
+	"github.com/kingcupknot/kingcupknot/platform"
+)
+
+func TestHostedQuestions(t *testing.T) {
+	ask := func(body string) (int, node.Reply) {
+		h := &hosted{settings: &platform.Settings{VM: "10.0.0.1", MetricsPort: 7441}}
+		var asked *asker
+		asked = newAsker(func(in node.Input) {
+			number := in.(node.OperatorAsked).Number
+			go asked.answer(node.OperatorAnswer{Number: number, Reply: node.Reply{Code: node.ReplyOK, Version: 7, Status: &node.Status{Leader: "10.0.0.1"}}})
+		})
+		w := httptest.NewRecorder()
+		h.questions(asked).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/command", strings.NewReader(body)))
+		var r node.Reply
+		_ = json.Unmarshal(w.Body.Bytes(), &r)
+		return w.Code, r
+	}
+	Convey("a control VM of the platform answers questions", t, func() {
+		code, r := ask(`{"status":{}}`)
+		So(code, ShouldEqual, http.StatusOK)
+		So(r.Status.Leader, ShouldEqual, catalog.VMID("10.0.0.1"))
+	})
+	Convey("and takes no changes there", t, func() {
+		for _, body := range []string{
+			`{"change-id":"x","drain":{"instance":"a"}}`, `{"switch":{"service":"orders"}}`, `{}`, `{"status":{},"retire":{"instance":"a"}}`,
+		} {
+			code, _ := ask(body)
+			So(code, ShouldEqual, http.StatusForbidden)
+		}
+	})
+	Convey("a question that can't be read is told so", t, func() {
+		code, _ := ask(`{"status":`)
+		So(code, ShouldEqual, http.StatusBadRequest)
+	})
+}
--- a/node/command.go
+++ b/node/command.go
@@ -28,6 +28,13 @@
 	Settings *SettingsQuery `json:"settings,omitempty"`
 }
 
+// IsQuestion reports whether the command changes nothing.
+func (c Command) IsQuestion() bool {
+	asks := c.Status != nil || c.History != nil || c.Settings != nil
+	c.Status, c.History, c.Settings = nil, nil, nil
+	return asks && c == Command{}
+}
+
 // ApplySettings replaces the list of services.
 type ApplySettings struct {
 	Services []catalog.Service `json:"services"`
@@ -122,6 +129,7 @@
 	Status   *Status           `json:"status,omitempty"`
 	History  []Change          `json:"history,omitempty"`
 	Services []catalog.Service `json:"services,omitempty"`
+	Routes   []catalog.Route   `json:"routes,omitempty"`
 	// Document is the configuration as the operator wrote it, for a
 	// SettingsQuery.
 	Document []byte `json:"document,omitempty"`
@@ -163,6 +171,10 @@
 	Primary catalog.Primary `json:"primary"`
 	// Phase names the step of a failover, empty if none runs.
 	Phase string `json:"phase,omitempty"`
+	// Holders is how many entries may hold a lease on the primary, LeaseLeft
+	// how long the last of them runs.
+	Holders   int           `json:"holders,omitempty"`
+	LeaseLeft time.Duration `json:"lease-left,omitempty"`
 }
 
 // EntryStatus describes one entry.
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -21,7 +21,7 @@
 	case d.History != nil:
 		c.tell(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, History: c.history(d.History.Limit)})
 	case d.Settings != nil:
-		c.tell(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, Services: c.state.Services, Document: c.state.Document})
+		c.tell(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, Services: c.state.Services, Routes: c.state.Routes, Document: c.state.Document})
 	case d.Adopt != nil:
 		c.adopt(o.Number, d.Adopt.Configuration)
 	case d.Announce != nil:
@@ -113,6 +113,11 @@
 		if f := c.failovers[s.ID]; f != nil {
 			v.Phase = phaseNames[f.phase]
 		}
+		for _, vm := range c.holders.names(s.ID) {
+			if left := c.entries[vm].leases[s.ID].until.Sub(c.now); left > 0 {
+				v.Holders, v.LeaseLeft = v.Holders+1, max(v.LeaseLeft, left)
+			}
+		}
 		st.Services = append(st.Services, v)
 		for _, u := range c.instancesOf(s.ID) {
 			st.Upstream = append(st.Upstream, c.upstreamStatus(u))
