session, node: a caller whom another entry can serve is let go at once

Cause: entries that are cut off keep their callers while new ones come.

Change: an operation that is refused since this entry is out of touch ends its session behind the refusal; the caller connects elsewhere. Who can still be served stays.

--- a/node/entry_listed_test.go
+++ b/node/entry_listed_test.go
@@ -172,6 +172,15 @@
 		w.pass(time.Second)
 		So(w.ready, ShouldBeFalse)
 		So(w.released, ShouldBeFalse)
+		Convey("of which those it can't serve may try another", func() {
+			// The lease of the harness runs for two seconds.
+			w.pass(1200 * time.Millisecond)
+			w.run(RequestArrived{Request: 1, Kind: KindWrite, Deadline: w.now.Add(2 * time.Second)})
+			w.pass(time.Second)
+			a, ok := w.answered(1)
+			So(ok, ShouldBeTrue)
+			So(a.Elsewhere, ShouldBeTrue)
+		})
 		Convey("and asks them to go elsewhere after that", func() {
 			w.pass(releaseAfter)
 			So(w.released, ShouldBeTrue)
--- a/node/entry_owner.go
+++ b/node/entry_owner.go
@@ -201,10 +201,13 @@
 	}
 }
 
-// declines reports whether a request that was passed on to this entry had
-// better run at another.
+// declines reports whether a request that is refused may well run at another
+// entry: at one that is in touch with control or, if it was passed on to this
+// one, that is not stopping and has heard of the service.
 func (e *Entry) declines(r *entryRequest) bool {
+	if e.options.ListsUpstreams && e.isCutOff() {
+		return true
+	}
 	s := r.service
-	return r.Forwarded && r.Kind != KindInside &&
-		(e.leaving || !e.catchUp.inForce || s == nil || !s.accepted || e.isCutOff())
+	return r.Forwarded && r.Kind != KindInside && (e.leaving || !e.catchUp.inForce || s == nil || !s.accepted)
 }
--- a/session/forward.go
+++ b/session/forward.go
@@ -230,7 +230,7 @@
 	c.database, c.values, c.floor, c.waited = f.Database, f.Values, f.Floor, milliseconds(f.Waited)
 	c.names = map[string]prepared{st.Name: {writes: f.Writes, shape: f.Shape}}
 	o := c.request(st, route, f.Kind)
-	if o.elsewhere {
+	if o.elsewhere && f.Kind != node.KindInside {
 		c.tx = nil
 		return ForwardReply{Declined: true}
 	}
--- a/session/script_test.go
+++ b/session/script_test.go
@@ -103,8 +103,8 @@
 		a.Floor = v.Position
 	}
 	switch {
-	case g.verdict == "not-run":
-		a.Verdict = node.VerdictNotRun
+	case g.verdict == "not-run", g.verdict == "elsewhere":
+		a.Verdict, a.Elsewhere = node.VerdictNotRun, g.verdict == "elsewhere"
 	case g.verdict == "unknown" || v.Outcome == node.OutcomeLost || v.Outcome == node.OutcomeFailed:
 		a.Verdict = node.VerdictUnknown
 	case v.Outcome != node.OutcomeCompleted:
--- a/session/session.go
+++ b/session/session.go
@@ -47,6 +47,9 @@
 	// waited is how long the caller has waited before its next request reached
 	// this process.
 	waited time.Duration
+	// goesElsewhere is set once this entry could not run what another may. The
+	// session ends after the operation, and the caller connects elsewhere.
+	goesElsewhere bool
 	// active is when the caller was answered last.
 	active time.Time
 }
@@ -153,6 +156,9 @@
 func (c *session) isOver() bool {
 	now := time.Now()
 	stopBy, stopping := c.server.stopping()
+	if c.tx == nil && c.goesElsewhere {
+		return c.link.IsWaiting()
+	}
 	if c.tx == nil {
 		rests := now.Sub(c.active) >= restTime || stopping && now.After(c.server.busyBy())
 		return (stopping || c.server.released.Load()) && rests && c.link.IsWaiting()
@@ -342,6 +348,7 @@
 	if c.floor.Less(o.floor) {
 		c.floor = o.floor
 	}
+	c.goesElsewhere = c.goesElsewhere || o.elsewhere
 	ended := c.tx != nil && st.Verb == VerbCommit
 	code, text := c.verdictOf(st, &o)
 	if ended {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -63,6 +63,16 @@
 		So(k.refused, ShouldResemble, []Code{CodeBusy})
 		So(k.answers, ShouldBeEmpty)
 	})
+	Convey("a caller whose request another entry may run is let go with the refusal", t, func() {
+		g := newRig(t)
+		g.verdict = "elsewhere"
+		g.expect("r1 read 7 = busy idle")
+		k := &scriptedLink{statements: []Statement{{ID: "r1", Verb: VerbRead, Text: "read 7"}, {ID: "r2", Verb: VerbRead, Text: "read 8"}}}
+		g.server.Serve(k.link())
+		So(k.answers, ShouldHaveLength, 2)
+		So(k.answers[1].Code, ShouldEqual, CodeBusy)
+		So(k.closed, ShouldBeTrue)
+	})
 	Convey("a planned stop lets a caller go only after it has rested", t, func() {
 		g := newRig(t)
 		g.expect("r1 read 7 = ok idle")
