node: serve what can keep its objective, spread the owners

Ruled out: probing of the replicas (27 a second, none new enough).

Changes: a request that could not leave half of its objective to what comes behind goes after the others; under such pressure for more than a second what is late is refused at once; reads whose work is long yield a busy primary first. Owners are spread evenly over the entries of a site, as one with three services filled its link of 2 Mbit/s.

--- a/node/entry_owner.go
+++ b/node/entry_owner.go
@@ -40,6 +40,9 @@
 	entries []catalog.VMID
 	sites   int
 	mark    uint64
+	// rankedMark and rankedServices are those of the present ranks.
+	rankedMark     uint64
+	rankedServices int
 	// awaitedUntil is when this entry ceases to wait for them, zero if it has
 	// not begun.
 	awaitedUntil catalog.Instant
@@ -83,14 +86,8 @@
 // that are neither avoided nor stopping.
 func (e *Entry) ownersOf(s *entryService) []catalog.VMID {
 	o := &e.owners
-	if s.ownersMark != o.mark {
-		s.ownersMark = o.mark
-		s.owners = slices.Clone(o.entries)
-		slices.SortFunc(s.owners, func(a, b catalog.VMID) int {
-			return cmp.Compare(rendezvous(b, s.id), rendezvous(a, s.id))
-		})
-	}
-	most := max(connectionsPerSlot*s.slots()/max(o.sites, 1), 1)
+	e.rankOwners()
+	most := e.ownersWanted(s)
 	var out []catalog.VMID
 	for _, vm := range s.owners {
 		leaves := e.leaving && vm == e.options.VM
@@ -101,6 +98,48 @@
 	return out
 }
 
+// ownersWanted is how many entries of the site own the service.
+func (e *Entry) ownersWanted(s *entryService) int {
+	return max(connectionsPerSlot*s.slots()/max(e.owners.sites, 1), 1)
+}
+
+// rankOwners ranks the entries of the site for each service, anew if the entries
+// or the services have changed. Each entry ranks alike. An entry that owned
+// several services by chance would have several times the work of others, so
+// that one with its part already makes way for the next by hash.
+func (e *Entry) rankOwners() {
+	o := &e.owners
+	if o.rankedMark == o.mark && o.rankedServices == len(e.order) {
+		return
+	}
+	o.rankedMark, o.rankedServices = o.mark, len(e.order)
+	total := 0
+	for _, id := range e.order {
+		total += min(e.ownersWanted(e.services[id]), len(o.entries))
+	}
+	part := (total + len(o.entries) - 1) / max(len(o.entries), 1)
+	load := map[catalog.VMID]int{}
+	for _, id := range e.order {
+		s := e.services[id]
+		s.owners = slices.Clone(o.entries)
+		slices.SortFunc(s.owners, func(a, b catalog.VMID) int {
+			return cmp.Compare(rendezvous(b, id), rendezvous(a, id))
+		})
+		if len(e.order) <= spreadServices {
+			slices.SortStableFunc(s.owners, func(a, b catalog.VMID) int {
+				return cmp.Compare(load[a]/part, load[b]/part)
+			})
+		}
+		for _, vm := range s.owners[:min(e.ownersWanted(s), len(s.owners))] {
+			load[vm]++
+		}
+	}
+}
+
+// spreadServices is up to how many services are spread evenly; chance does that
+// for more.
+const spreadServices = 64
+
 // slots is the most that one upstream of the service runs at a time.
 func (s *entryService) slots() int {
 	most := 1
--- a/node/entry_pressure.go
+++ b/node/entry_pressure.go
@@ -38,7 +38,7 @@
 	if r.primaryOnly || r.Objective <= 0 {
 		return false
 	}
-	expected, room := i.expected(e.now), r.Objective/2
+	expected, room := i.expected(e.now), r.service.work.room(r.Database, r.Objective/2)
 	if expected <= room {
 		return false
 	}
@@ -48,6 +48,62 @@
 	return max(e.drawBelow(expected), e.drawBelow(expected)) >= room
 }
 
+// readWork is what the reads under each name of a service's databases take at an
+// upstream that is not busy. Where not all can be served, more callers are if
+// those with the longest work yield first.
+type readWork struct {
+	// usual are low quantiles of the time that reads took, by database, mean
+	// that of all reads.
+	usual map[string]time.Duration
+	mean  time.Duration
+}
+
+// Weights of a time below the quantile and above it, which lies where as many
+// times are below as the ratio of these says: at a ninth, where waiting for
+// others hardly shows.
+const (
+	workBelow = 4
+	workAbove = 32
+)
+
+func (w *readWork) note(database string, took time.Duration) {
+	if w.usual == nil {
+		w.usual = map[string]time.Duration{}
+	}
+	usual, ok := w.usual[database]
+	switch {
+	case !ok:
+		usual = took
+	case took < usual:
+		usual += (took - usual) / workBelow
+	default:
+		usual += min(took-usual, usual) / workAbove
+	}
+	w.usual[database] = max(usual, 1)
+	if w.mean == 0 {
+		w.mean = w.usual[database]
+	}
+	w.mean += (w.usual[database] - w.mean) / workAbove
+}
+
+// roomMost and roomLeast bound how much more or less time reads may take for
+// being shorter or longer than others.
+const (
+	roomMost  = 2.0
+	roomLeast = 0.25
+)
+
+// room is the time that reads of a database may be expected to take before they
+// yield, given that of reads with the usual work.
+func (w *readWork) room(database string, usual time.Duration) time.Duration {
+	own := w.usual[database]
+	if own == 0 || w.mean == 0 {
+		return usual
+	}
+	ratio := float64(w.mean) / float64(own)
+	return time.Duration(float64(usual) * min(max(ratio*ratio, roomLeast), roomMost))
+}
+
 // drawBelow returns a random time below a bound.
 func (e *Entry) drawBelow(most time.Duration) time.Duration {
 	return time.Duration(e.draw() % uint64(most))
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -24,23 +24,65 @@
 // of arrival all of them would be late, and those that come meanwhile too.
 func (e *Entry) dispatch(s *entryService) {
 	var p placement
-	for _, late := range [...]bool{false, true} {
-		for class := range s.waiting {
-			kept := s.waiting[class][:0]
-			for _, r := range s.waiting[class] {
-				if e.isLate(r) != late || !e.place(s, r, &p) {
-					kept = append(kept, r)
-				}
-			}
-			s.waiting[class] = kept
-		}
+	for class := range s.waiting {
+		e.placeAll(s, class, false, &p)
+	}
+	e.notePressure(s)
+	for class := range s.waiting {
+		e.placeAll(s, class, true, &p)
 	}
 	e.shed(s)
 }
 
-// isLate reports whether the request has missed its objective already.
+// placeAll places the waiting requests of a class that are late, or those that
+// are not.
+func (e *Entry) placeAll(s *entryService, class int, late bool, p *placement) {
+	kept := s.waiting[class][:0]
+	for _, r := range s.waiting[class] {
+		switch {
+		case e.isLate(r) != late:
+			kept = append(kept, r)
+		case late && e.isPressed(s):
+			e.refuse(r, "there is more work than can keep its objective", pressedFor)
+		case !e.place(s, r, p):
+			kept = append(kept, r)
+		}
+	}
+	s.waiting[class] = kept
+}
+
+// isLate reports whether the request would miss its objective, of which half is
+// left to what comes behind this wait: the way to the caller, and the other
+// statements of its operation. In the order of arrival all that wait would
+// otherwise be served just when it is too late.
 func (e *Entry) isLate(r *entryRequest) bool {
-	return r.Objective > 0 && e.now.Sub(r.arrived)+r.Waited > r.Objective
+	run := min(r.service.serve, r.Objective/4)
+	return r.Objective > 0 && e.now.Sub(r.arrived)+r.Waited+run > r.Objective/2
+}
+
+// pressedFor is for how long there must be more work than can keep its objective
+// until what has missed it is refused at once. The backlog of an outage is
+// served sooner.
+const pressedFor = time.Second
+
+// notePressure notes since when requests wait that could keep their objective.
+func (e *Entry) notePressure(s *entryService) {
+	waits := false
+	for _, q := range s.waiting {
+		for _, r := range q {
+			waits = waits || r.Objective > 0 && !e.isLate(r)
+		}
+	}
+	switch {
+	case !waits:
+		s.pressedSince = 0
+	case s.pressedSince == 0:
+		s.pressedSince = e.now
+	}
+}
+
+func (e *Entry) isPressed(s *entryService) bool {
+	return s.pressedSince != 0 && e.now.Sub(s.pressedSince) > pressedFor
 }
 
 // place reports whether the request left the queue, be it started or refused.
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -157,6 +157,9 @@
 		took := e.now.Sub(r.startedAt)
 		r.service.serve += (took - r.service.serve) / 8
 		i.note(took, e.now)
+		if r.isRead() && r.Database != "" {
+			r.service.work.note(r.Database, took)
+		}
 		e.adapt(i, took)
 	}
 	if v.Position.Zero() {
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -85,13 +85,17 @@
 	wasUsed bool
 	// tokens is the retry budget.
 	tokens float64
+	// work is what reads take at an upstream that is not busy.
+	work readWork
 	// serve is the smoothed time that a request takes at an upstream.
 	serve time.Duration
+	// pressedSince is since when requests wait that could keep their objective,
+	// zero if none does.
+	pressedSince catalog.Instant
 
-	// owners are the entries of the site that hold the service's connections,
-	// the first ones first, of the list that ownersMark marks.
-	owners     []catalog.VMID
-	ownersMark uint64
+	// owners are the entries of the site by their rank for the service, of which
+	// the first ones hold its connections.
+	owners []catalog.VMID
 	// isObserved is set if this entry is one of the service's observers.
 	isObserved bool
 	// isSubscribed is set while the entry observes the service or has callers
--- a/node/event.go
+++ b/node/event.go
@@ -68,8 +68,11 @@
 type RequestArrived struct {
 	Request catalog.RequestID
 	Service catalog.ServiceID
-	Kind    RequestKind
-	Class   Class
+	// Database is the name that the caller reached the service by. Requests
+	// under one name do alike work.
+	Database string
+	Kind     RequestKind
+	Class    Class
 	// Held is the connection the caller's transaction holds, for KindInside.
 	Held catalog.ConnID
 	// Floor is the position that a read must not be older than.
--- a/session/request.go
+++ b/session/request.go
@@ -81,7 +81,7 @@
 	defer c.server.unregister(id)
 	now := c.server.options.Now()
 	in := node.RequestArrived{
-		Request: id, Service: route.Service, Kind: kind, Class: classOf(route),
+		Request: id, Service: route.Service, Database: c.database, Kind: kind, Class: classOf(route),
 		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
 		Deadline: now.Add(route.Timeout), Objective: route.Objective, Forwarded: c.from != "", Waited: c.waited,
 	}
