node, daemon: hear an entry that starts again with a lower number

Cause: on the platform an entry numbered its starts by the boot-time clock, which begins anew with the VM. Found from readiness lines that were missing. Ruled out: the list of entries, the channel between them (the entries did not hear of any configuration).

Change: the time of day numbers starts, as in our own deployments; since that may step back, a lower number is taken from an entry that was silent for four reports.

Test: TestEntryWhoseClockWentBack failed before.

--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -23,7 +23,7 @@
 // runEntry runs an entry.
 func (h *hosted) runEntry(ctx context.Context, drain <-chan struct{}) error {
 	entry := node.NewEntry(node.EntryOptions{
-		VM: h.settings.VM, Site: h.settings.Site, Life: uint64(h.clock.Now()), Seed: random(),
+		VM: h.settings.VM, Site: h.settings.Site, Life: uint64(time.Now().UnixNano()), Seed: random(),
 		Timings: hostedTimings(h.settings), Control: h.settings.Seeds, ListsUpstreams: true,
 	})
 	h.loop = NewLoop(h.clock, entry.Step)
--- a/node/control_listed_test.go
+++ b/node/control_listed_test.go
@@ -179,6 +179,24 @@
 	})
 }
 
+func TestEntryWhoseClockWentBack(t *testing.T) {
+	Convey("an entry that starts again with a lower number is heard once its last life is silent", t, func() {
+		w := newListedControl(quorum.Saved{})
+		report := func(life, sequence uint64) *wire.Answer {
+			w.step(PeerReceived{From: "e1", Message: wire.Message{Report: &wire.Report{VM: "e1", Site: "s1", Life: life, Sequence: sequence}}})
+			return w.lastAnswer("e1")
+		}
+		So(report(9, 100).Sequence, ShouldEqual, 100)
+		Convey("and not while that still reports", func() {
+			w.pass(100 * time.Millisecond)
+			So(report(5, 7).Sequence, ShouldEqual, 100)
+		})
+		w.pass(evidenceReports * w.control.options.Timings.Report)
+		So(report(5, 8).Sequence, ShouldEqual, 8)
+		So(report(5, 9).Sequence, ShouldEqual, 9)
+	})
+}
+
 func TestListedUpstreamsOutliveTheLeader(t *testing.T) {
 	Convey("the next leader tells entries of upstreams that have not announced themselves to it", t, func() {
 		w := newListedControl(quorum.Saved{})
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -13,7 +13,8 @@
 // entryView is what the leader knows of one entry.
 type entryView struct {
 	site catalog.SiteID
-	// life and sequence order the reports. Invariant: they never go back.
+	// life and sequence order the reports. Invariant: they never go back, but
+	// for the life of an entry that was silent.
 	life     uint64
 	sequence uint64
 	// seenAt is when the report with that sequence arrived.
@@ -151,7 +152,7 @@
 		return
 	}
 	v := c.entry(from, site)
-	if r.Life < v.life || (r.Life == v.life && r.Sequence <= v.sequence) {
+	if r.Life == v.life && r.Sequence <= v.sequence || r.Life < v.life && c.isAtWork(v) {
 		return
 	}
 	v.life, v.sequence, v.seenAt = r.Life, r.Sequence, c.now
@@ -172,6 +173,13 @@
 	c.answer(from, v)
 }
 
+// isAtWork reports whether an entry has reported of late. One that has not may
+// have started again with a clock that went back; a report that an earlier life
+// left on its way is taken for such a start only until the next one.
+func (c *Control) isAtWork(v *entryView) bool {
+	return c.now.Sub(v.seenAt) <= evidenceReports*c.options.Timings.Report
+}
+
 func (c *Control) entry(vm catalog.VMID, site catalog.SiteID) *entryView {
 	if v := c.entries[vm]; v != nil {
 		return v
--- a/node/control_sites.go
+++ b/node/control_sites.go
@@ -37,7 +37,7 @@
 	c.sitesAt = c.now.Add(sitesEvery)
 	bySite := map[catalog.SiteID][]catalog.VMID{}
 	for vm, v := range c.entries {
-		if !v.leaving && c.now.Sub(v.seenAt) <= evidenceReports*c.options.Timings.Report {
+		if !v.leaving && c.isAtWork(v) {
 			bySite[v.site] = append(bySite[v.site], vm)
 		}
 	}
