node: a failure counts as a long time

Ruled out: a bigger budget (it multiplies the load where all fail).

Change: a failed request counts as 500 ms of the upstream's time, which is halved after 0.4 s and less with each further one.

--- a/node/entry_pressure.go
+++ b/node/entry_pressure.go
@@ -20,6 +20,10 @@
 // that an entry that sent nothing for a while tries again.
 const tookHalf = 400 * time.Millisecond
 
+// failedTook is what a request counts that the upstream failed: about what it
+// costs a caller to come again.
+const failedTook = 500 * time.Millisecond
+
 // note learns from the time that a request took.
 func (i *entryInstance) note(took time.Duration, now catalog.Instant) {
 	old := i.expected(now)
--- a/node/entry_pressure_test.go
+++ b/node/entry_pressure_test.go
@@ -69,6 +69,58 @@
 	})
 }
 
+func TestFailingUpstreamIsLeftAlone(t *testing.T) {
+	Convey("reads leave a replica that fails some of them, and return after a while", t, func() {
+		w := newListedEntry()
+		at := catalog.Position{Term: 1, Offset: 1}
+		next := catalog.RequestID(0)
+		// read runs one read and returns where it ran.
+		read := func(outcome Outcome) catalog.InstanceID {
+			next++
+			run, ok := w.run(RequestArrived{Request: next, Kind: KindRead})
+			for !ok {
+				w.pass(20 * time.Millisecond)
+				run, ok = w.running(next)
+			}
+			id := w.conns[run.Conn]
+			if id != "b" {
+				outcome = OutcomeCompleted
+			}
+			done := func(outcome Outcome) {
+				w.pass(10 * time.Millisecond)
+				run, _ = w.running(next)
+				w.effects = nil
+				w.step(RequestDone{Request: next, Conn: run.Conn, Outcome: outcome, Position: at, AskedAt: w.now, Reusable: true})
+			}
+			done(outcome)
+			if outcome == OutcomeFailed {
+				// It runs again elsewhere, if the budget of retries allows.
+				w.pass(20 * time.Millisecond)
+				if _, again := w.running(next); again {
+					done(OutcomeCompleted)
+				}
+			}
+			return id
+		}
+		for _, id := range []catalog.InstanceID{"b", "c"} {
+			i := w.entry.services["orders"].instance(id)
+			i.known, i.knownAt, i.position = true, w.now, at
+		}
+		w.entry.services["orders"].instance("b").preference = 0
+		count := func(outcome Outcome) (n int) {
+			for range 40 {
+				if read(outcome) == "b" {
+					n++
+				}
+			}
+			return n
+		}
+		So(count(OutcomeFailed), ShouldBeLessThan, 10)
+		w.pass(time.Minute)
+		So(count(OutcomeCompleted), ShouldBeGreaterThan, 0)
+	})
+}
+
 func TestReadWork(t *testing.T) {
 	Convey("what reads take is learned from those that did not wait", t, func() {
 		var w readWork
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -151,6 +151,10 @@
 			i.role, i.knownAt = catalog.RoleReplica, e.now
 		}
 		i.nextProbe = e.now
+	case OutcomeFailed:
+		// Failures come fast: an upstream that fails in part would look like the
+		// quickest of its group.
+		i.note(failedTook, e.now)
 	case OutcomeNotReady:
 		i.pausedUntil = e.now.Add(backoffFirst + time.Duration(e.draw()%uint64(backoffFirst)))
 	case OutcomeCompleted:
