--- a/link/channel.go
+++ b/link/channel.go
@@ -58,9 +58,9 @@
 	// gone is closed once nothing more can arrive.
 	gone chan struct{}
 	once sync.Once
-	// heardAt is when something arrived last, in nanoseconds of the runtime's
-	// time.
-	heardAt atomic.Int64
+	// heardAt is when something arrived last. It holds a reading of the steady
+	// clock, which the time of day does not move.
+	heardAt atomic.Pointer[time.Time]
 	// asking is held while the peer is asked whether it is there.
 	asking sync.Mutex
 
@@ -75,10 +75,13 @@
 	return c
 }
 
-func (c *Channel) heard() { c.heardAt.Store(time.Now().UnixNano()) }
+func (c *Channel) heard() {
+	now := time.Now()
+	c.heardAt.Store(&now)
+}
 
 func (c *Channel) silentFor() time.Duration {
-	return time.Since(time.Unix(0, c.heardAt.Load()))
+	return time.Since(*c.heardAt.Load())
 }
 
 // Close ends the channel and its talks.
@@ -232,6 +235,8 @@
 type peerChannel struct {
 	mutex   sync.Mutex
 	channel *Channel
+	// failedAt is when the last attempt to open it failed.
+	failedAt time.Time
 }
 
 // NewChannels returns channels of a hub's process.
@@ -253,10 +258,15 @@
 	if c := peer.channel; c != nil && !c.isGone() && (c.silentFor() < restedAfter || c.isAlive()) {
 		return c, nil
 	}
+	if time.Since(peer.failedAt) < channelDial {
+		// All that waited for that attempt would make one of their own.
+		return nil, errors.Trace(ErrNotSent)
+	}
 	ctx, cancel := context.WithTimeout(p.hub.context, channelDial)
 	defer cancel()
 	s, err := p.hub.dial(ctx, to, ChannelPath)
 	if err != nil {
+		peer.failedAt = time.Now()
 		return nil, err
 	}
 	peer.channel = newChannel(s)
--- a/session/server.go
+++ b/session/server.go
@@ -50,11 +50,9 @@
 	waiting  map[catalog.RequestID]chan node.Effect
 	sessions map[*session]bool
 
-	// stopBy is when open transactions are given up in a planned stop, in
-	// nanoseconds of the time of the runtime; zero while none is under way.
-	stopBy atomic.Int64
-	// drainedAt is when the planned stop began to end sessions.
-	drainedAt atomic.Int64
+	// stop is set once a planned stop ends sessions. Its times hold readings of
+	// the steady clock, which the time of day does not move.
+	stop atomic.Pointer[plannedStop]
 	// released is set while callers should connect elsewhere.
 	released atomic.Bool
 	// leaving is set once a planned stop has begun.
@@ -148,11 +146,17 @@
 // Drain goes on with it: sessions end when they are between operations, and
 // transactions at the time given.
 func (s *Server) Drain(by time.Time) {
-	s.drainedAt.Store(time.Now().UnixNano())
-	s.stopBy.Store(by.UnixNano())
+	s.stop.Store(&plannedStop{busyBy: time.Now().Add(busyTime), transactionsBy: by})
 	s.interrupt()
 }
 
+// plannedStop is the end of a planned stop.
+type plannedStop struct {
+	// busyBy is when sessions are ended that do not rest, transactionsBy when
+	// open transactions are rolled back.
+	busyBy, transactionsBy time.Time
+}
+
 // Release asks the callers that are between operations to connect again, since
 // this entry can't serve them, until it is called with false.
 func (s *Server) Release(on bool) {
@@ -169,14 +173,3 @@
 		c.link.Interrupt(time.Now().Add(restTime))
 	}
 }
-
-// busyBy is when sessions are ended that do not rest.
-func (s *Server) busyBy() time.Time {
-	return time.Unix(0, s.drainedAt.Load()).Add(busyTime)
-}
-
-// stopping returns when transactions must have ended, if a stop is under way.
-func (s *Server) stopping() (time.Time, bool) {
-	at := s.stopBy.Load()
-	return time.Unix(0, at), at != 0
-}
--- a/session/session.go
+++ b/session/session.go
@@ -135,18 +135,15 @@
 // wake has the wait for the caller end when something else is due.
 func (c *session) wake() {
 	var at time.Time
-	stopBy, stopping := c.server.stopping()
+	stop := c.server.stop.Load()
 	if c.tx == nil {
-		if stopping || c.server.released.Load() {
+		if stop != nil || c.server.released.Load() {
 			at = c.active.Add(restTime)
 		}
 	} else {
 		at = c.tx.restsUntil
-		if stopping && c.tx.failed {
-			stopBy = stopBy.Add(tellTime)
-		}
-		if stopping && (at.IsZero() || stopBy.Before(at)) {
-			at = stopBy
+		if by := stop.endOf(c.tx); stop != nil && (at.IsZero() || by.Before(at)) {
+			at = by
 		}
 	}
 	c.link.Interrupt(at)
@@ -155,21 +152,33 @@
 // isOver gives up what is due and reports whether the session must end.
 func (c *session) isOver() bool {
 	now := time.Now()
-	stopBy, stopping := c.server.stopping()
+	stop := c.server.stop.Load()
 	if c.tx == nil && c.goesElsewhere {
 		return c.link.IsWaiting()
 	}
 	if c.tx == nil {
-		rests := now.Sub(c.active) >= restTime || stopping && now.After(c.server.busyBy())
-		return (stopping || c.server.released.Load()) && rests && c.link.IsWaiting()
+		rests := now.Sub(c.active) >= restTime || stop != nil && now.After(stop.busyBy)
+		return (stop != nil || c.server.released.Load()) && rests && c.link.IsWaiting()
 	}
 	rested := !c.tx.restsUntil.IsZero() && now.After(c.tx.restsUntil)
-	if rested || stopping && now.After(stopBy) {
+	if rested || stop != nil && now.After(stop.transactionsBy) {
 		c.fail()
 		c.tx.restsUntil = time.Time{}
 	}
-	// The caller is told with its next statement, which it has time to send.
-	return stopping && c.tx.failed && now.After(stopBy.Add(tellTime)) && c.link.IsWaiting()
+	return stop != nil && c.tx.failed && now.After(stop.endOf(c.tx)) && c.link.IsWaiting()
+}
+
+// endOf is when the stop ends a transaction, or the session of one that has
+// failed: its caller is told with the next statement, and has time to send that.
+func (s *plannedStop) endOf(t *transaction) time.Time {
+	switch {
+	case s == nil:
+		return time.Time{}
+	case t.failed:
+		return s.transactionsBy.Add(tellTime)
+	default:
+		return s.transactionsBy
+	}
 }
 
 // fail rolls the transaction back; the caller can only end it.
