--- a/link/channel_test.go
+++ b/link/channel_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -152,3 +153,34 @@
 		k.End(true)
 	}
 }
+
+// FuzzFrame proves that no frame of a peer makes a channel panic or serve a talk
+// that has no question.
+func FuzzFrame(f *testing.F) {
+	data, err := cbor.Marshal(frame{Talk: 1, Body: cbor.RawMessage{0x01}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte{0xa1, 0x03, 0xf5})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var got frame
+		if decoder.Unmarshal(data, &got) != nil {
+			return
+		}
+		c := &Channel{gone: make(chan struct{}), talks: map[uint64]chan cbor.RawMessage{}}
+		served := make(chan error, 1)
+		c.asked(got, "a", func(q Questions) {
+			var v any
+			served <- q.Next(&v)
+		})
+		if got.Ended {
+			if len(served) > 0 || len(c.talks) > 0 {
+				t.Fatal("an ended talk is served")
+			}
+			return
+		}
+		<-served
+	})
+}
