node, daemon: forget work of removed routes; read as a newcomer

What reads take was kept for databases whose routes are gone, which grows with each change of configuration. A lease that was never held is not logged as one that ran out hours ago. The hub is made before what uses it.

--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -28,14 +28,13 @@
 	})
 	h.loop = NewLoop(h.clock, entry.Step)
 	pool := session.NewPool(h.poolOptions())
-	var channels *link.Channels
+	h.join()
+	channels := link.NewChannels(h.hub)
 	callers := session.NewServer(session.Options{
 		Feed: h.loop.Feed, Now: h.clock.Now, Pool: pool, Decided: h.decided,
 		Way:        func(to catalog.VMID) (*session.Way, error) { return h.way(channels, to) },
 		MaxCallers: max(h.settings.MaxFiles-filesReserved, filesReserved),
 	})
-	h.join()
-	channels = link.NewChannels(h.hub)
 	if err := h.connect(map[string]http.Handler{link.ChannelPath: h.hub.HandleChannels(serveForwarded(callers))}, nil); err != nil {
 		return errors.Trace(err)
 	}
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -28,6 +28,9 @@
 	routes = append(routes, a.Routes...)
 	slices.SortFunc(routes, func(x, y catalog.Route) int { return x.Compare(y.RouteKey) })
 	e.routes, e.idle = routes, a.TransactionIdle
+	if len(a.RemovedRoutes) > 0 {
+		e.forgetWork()
+	}
 	e.emit(RoutesChanged{Version: e.version, Routes: routes, TransactionIdle: e.idle})
 }
 
--- a/node/entry_pressure.go
+++ b/node/entry_pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -90,6 +91,17 @@
 	w.mean += (w.usual[database] - w.mean) / workAbove
 }
 
+// forgetWork drops what was learned of databases that no route names any more.
+func (e *Entry) forgetWork() {
+	known := map[string]bool{}
+	for _, r := range e.routes {
+		known[r.Database] = true
+	}
+	for _, s := range e.services {
+		maps.DeleteFunc(s.work.usual, func(database string, _ time.Duration) bool { return !known[database] })
+	}
+}
+
 // roomMost and roomLeast bound how much more or less time reads may take for
 // being shorter or longer than others.
 const (
--- a/node/entry_pressure_test.go
+++ b/node/entry_pressure_test.go
@@ -121,6 +121,20 @@
 	})
 }
 
+func TestWorkOfRemovedRoutes(t *testing.T) {
+	Convey("what was learned of a database is dropped with its last route", t, func() {
+		w := newListedEntry()
+		s := w.entry.services["orders"]
+		s.work.note("shop", time.Millisecond)
+		s.work.note("gone", time.Millisecond)
+		w.answer.Version, w.answer.Whole = 2, false
+		w.answer.RemovedRoutes = []catalog.RouteKey{{Database: "gone"}}
+		w.pass(time.Second)
+		So(s.work.usual, ShouldContainKey, "shop")
+		So(s.work.usual, ShouldNotContainKey, "gone")
+	})
+}
+
 func TestReadWork(t *testing.T) {
 	Convey("what reads take is learned from those that did not wait", t, func() {
 		var w readWork
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -252,7 +252,10 @@
 func (e *Entry) answer(r *entryRequest, a AnswerRequest) {
 	delete(e.requests, r.Request)
 	if s := r.service; s != nil {
-		a.Epoch, a.LeaseLeft = s.primary.Epoch, s.leaseUntil.Sub(e.now)
+		a.Epoch = s.primary.Epoch
+		if s.leaseUntil != 0 {
+			a.LeaseLeft = s.leaseUntil.Sub(e.now)
+		}
 	}
 	e.emit(a)
 	switch {
