node: a large configuration is sent once while it is on its way

Control answered each report of an entry that had no configuration yet with all of it, 125 kB five times a second or more.

Change: no more is sent until what was sent can have arrived, half a millisecond a route; the entry goes on with what it has. With the few routes of the other deployments that is less than a report's time. Test: TestRoutesAreNotSentAgainWhileOnTheirWay, 624 kB in a second of 250 kB before, once now.

--- a/node/control_report.go
+++ b/node/control_report.go
@@ -37,6 +37,10 @@
 	// pushedAt is when it was told of them without having asked.
 	entries  uint64
 	pushedAt catalog.Instant
+	// sentTo is the version that the entry had when changes were sent to it, and
+	// sentUntil when those have arrived.
+	sentTo    catalog.Version
+	sentUntil catalog.Instant
 	// wants are those of the last report that told them.
 	wants []wire.Want
 }
@@ -254,9 +258,15 @@
 // must not get older ones than it had.
 func (c *Control) newAnswer(v *entryView) *wire.Answer {
 	a := &wire.Answer{Leader: c.options.VM, Sequence: v.sequence}
-	if c.inContact() {
+	switch {
+	case !c.inContact():
+	case c.isOnItsWay(v):
+		// The entry goes on with what it has.
+		a.Version = v.settings
+	default:
 		a.Version = c.state.Version
 		c.addSettings(a, v.settings)
+		v.sentTo, v.sentUntil = v.settings, c.now.Add(time.Duration(len(a.Routes))*routeTime)
 	}
 	c.addUpstreams(a, v.upstreams)
 	c.addEntries(a, v)
@@ -267,6 +277,17 @@
 	return a
 }
 
+// routeTime is how long a route of some 70 bytes is on its way to an entry with
+// 2 Mbit/s and other traffic.
+const routeTime = 500 * time.Microsecond
+
+// isOnItsWay reports whether a configuration was sent to the entry that can't
+// have arrived yet. With thousands of routes the answers to the next reports
+// would otherwise bring it again, and fill the link so that none arrives.
+func (c *Control) isOnItsWay(v *entryView) bool {
+	return c.options.ListsUpstreams && v.sentTo == v.settings && c.now.Before(v.sentUntil)
+}
+
 // renewAll renews all leases of an entry in one word if it knows the primaries
 // in force and none of them is being replaced. It reports whether it has.
 func (c *Control) renewAll(a *wire.Answer, vm catalog.VMID, v *entryView, length time.Duration) bool {
