--- a/node/entry_listed_test.go
+++ b/node/entry_listed_test.go
@@ -185,7 +185,7 @@
 			w.pass(releaseAfter)
 			So(w.released, ShouldBeTrue)
 		})
-		Convey("or keeps them if it is in touch again", func() {
+		Convey("or keeps them if control answers again", func() {
 			w.on = true
 			w.pass(releaseAfter)
 			So(w.ready, ShouldBeTrue)
--- a/node/entry_owner.go
+++ b/node/entry_owner.go
@@ -241,7 +241,7 @@
 }
 
 // declines reports whether a request that is refused may well run at another
-// entry: at one that is in touch with control or, if it was passed on to this
+// entry: at one that control reaches or, if it was passed on to this
 // one, that is not stopping and has heard of the service.
 func (e *Entry) declines(r *entryRequest) bool {
 	if e.options.ListsUpstreams && e.isCutOff() {
