--- a/listener/caller_test.go
+++ b/listener/caller_test.go
@@ -304,6 +304,24 @@
 	})
 }
 
+// TestRequestThatArrivesWithAStop guards against a request that is taken although
+// a planned stop has begun: a choice between the two that is left to chance.
+func TestRequestThatArrivesWithAStop(t *testing.T) {
+	const attempts = 64
+	Convey("an idle caller's message is never taken once the stop has begun", t, func() {
+		s := &Server{draining: make(chan struct{})}
+		close(s.draining)
+		for range attempts {
+			c := newCaller(s, nil)
+			c.messages = make(chan pgproto3.FrontendMessage, 1)
+			c.messages <- &pgproto3.Query{String: "SELECT 1"}
+			m, f := c.nextMessage(true)
+			So(m, ShouldBeNil)
+			So(f.Code, ShouldEqual, codeNotRun)
+		}
+	})
+}
+
 // TestOutcomes guards against a caller that gets a replica's error for a write
 // that another upstream could run. A caller that asked for a read-only transaction
 // must still get the error.
--- a/listener/read.go
+++ b/listener/read.go
@@ -162,6 +162,10 @@
 	}
 	select {
 	case m := <-c.messages:
+		if isIdle && c.server.isDraining() {
+			// The message and the start of the stop arrived together.
+			return nil, stoppingFault()
+		}
 		return m, nil
 	case <-c.disconnected:
 		var exceeded *pgproto3.ExceededMaxBodyLenErr
@@ -170,10 +174,16 @@
 		}
 		return nil, nil
 	case <-draining:
-		return nil, &fault{
-			Code: codeNotRun, Text: "not run: this entry is stopping; connect again", Fatal: true,
-			Hint: retryHint(stopRetryDelay), DrainInput: true,
-		}
+		return nil, stoppingFault()
+	}
+}
+
+// stoppingFault returns the fault that disconnects an idle caller during a
+// planned stop.
+func stoppingFault() *fault {
+	return &fault{
+		Code: codeNotRun, Text: "not run: this entry is stopping; connect again", Fatal: true,
+		Hint: retryHint(stopRetryDelay), DrainInput: true,
 	}
 }
 
--- a/listener/server.go
+++ b/listener/server.go
@@ -164,6 +164,16 @@
 	close(s.draining)
 }
 
+// isDraining reports whether a planned stop has begun.
+func (s *Server) isDraining() bool {
+	select {
+	case <-s.draining:
+		return true
+	default:
+		return false
+	}
+}
+
 // IsIdle reports whether no caller is connected.
 func (s *Server) IsIdle() bool {
 	s.mu.Lock()
