session: end sessions with a refusal, not by closing the connection

Cause: a planned stop took a silence of 60 ms for an idle caller and closed the connection. A caller that had sent half a statement made the session spin instead, as its read deadline stayed in the past.

Change: the session sends an error, then refuses what arrives until the caller has closed the connection (2 s at most). A statement that crosses the error has it as its answer and gets the end of that answer; nothing of it runs.

The read-ahead check of the caller's connection is gone, as nothing depends on it any more.

--- a/session/server.go
+++ b/session/server.go
@@ -20,15 +20,13 @@
 	Receive func() (Statement, error)
 	// Answer writes the answer to one statement.
 	Answer func(Answer) error
-	// Refuse answers the startup message with an error.
+	// Refuse sends an error that no statement needs to have asked for. It answers
+	// the startup message, or ends the session.
 	Refuse func(Code, string)
 	// InterruptAt sets the time at which Receive is interrupted. The zero time
 	// means never.
 	InterruptAt func(at time.Time)
-	// IsBetweenStatements reports whether no byte of the next statement has
-	// arrived.
-	IsBetweenStatements func() bool
-	Close               func()
+	Close       func()
 }
 
 // Options are the options of a Server.
--- a/session/session.go
+++ b/session/session.go
@@ -14,10 +14,16 @@
 const ErrInterrupted = errors.ConstError("the wait was interrupted")
 
 // minIdleTime is how long a caller must have been idle before its session is
-// ended. Without it, a caller that is about to send the next statement would
-// find its connection closed.
+// ended. It only makes it rarer that a statement crosses the end of its session:
+// silence does not show that a caller is idle, since this process may itself have
+// been unable to run.
 const minIdleTime = 60 * time.Millisecond
 
+// sessionEndGrace is how long a session that is being ended still waits for the
+// caller to close the connection. Statements that arrive within this time are
+// refused rather than cut off.
+const sessionEndGrace = 2 * time.Second
+
 // busySessionGrace is how long the sessions of callers that never become idle
 // may continue during a planned stop. After it they are ended right after an
 // answer.
@@ -93,6 +99,7 @@
 		st, err := c.caller.Receive()
 		if errors.Is(err, ErrInterrupted) {
 			if c.enforceDeadlines() {
+				c.end()
 				return
 			}
 			continue
@@ -109,6 +116,35 @@
 			c.waitTime = 0
 		}
 		if c.enforceDeadlines() {
+			c.end()
+			return
+		}
+	}
+}
+
+// end ends the session between two statements of the caller. The error that end
+// sends tells an idle caller to connect again. It is also the answer to the first
+// statement that the caller may have sent meanwhile; the other statements get it
+// again. None of them runs.
+func (c *session) end() {
+	const reason = "not run: this entry ends the session; connect again"
+	code := CodeBusy
+	if c.tx != nil {
+		code = CodeAborted
+	}
+	c.caller.InterruptAt(time.Now().Add(sessionEndGrace))
+	c.caller.Refuse(code, reason)
+	for isFirst := true; ; isFirst = false {
+		st, err := c.caller.Receive()
+		if err != nil {
+			return
+		}
+		c.server.logDecision(Decision{Request: st.ID, Database: c.database, Verb: st.Verb, Verdict: verdictNames[node.VerdictNotRun], Reason: reason})
+		a := Answer{Code: code, Text: reason, State: c.state()}
+		if isFirst {
+			a = Answer{Body: []byte{}, State: c.state()}
+		}
+		if c.caller.Answer(a) != nil {
 			return
 		}
 	}
@@ -165,18 +201,18 @@
 	now := time.Now()
 	stop := c.server.stop.Load()
 	if c.tx == nil && c.shouldReconnect {
-		return c.caller.IsBetweenStatements()
+		return true
 	}
 	if c.tx == nil {
 		isIdle := now.Sub(c.lastActive) >= minIdleTime || stop != nil && now.After(stop.busyDeadline)
-		return (stop != nil || c.server.isolated.Load()) && isIdle && c.caller.IsBetweenStatements()
+		return (stop != nil || c.server.isolated.Load()) && isIdle
 	}
 	isIdleTooLong := !c.tx.idleDeadline.IsZero() && now.After(c.tx.idleDeadline)
 	if isIdleTooLong || stop != nil && now.After(stop.transactionDeadline) {
 		c.failTransaction()
 		c.tx.idleDeadline = time.Time{}
 	}
-	return stop != nil && c.tx.failed && now.After(stop.deadlineOf(c.tx)) && c.caller.IsBetweenStatements()
+	return stop != nil && c.tx.failed && now.After(stop.deadlineOf(c.tx))
 }
 
 // deadlineOf returns when a planned stop rolls back an open transaction. For a
