link: send messages over the connection that the peer has opened

Cause: each pair of processes kept two connections, one for each direction.

Change: messages to a peer that has connected go over its newest connection. A peer says when it connects that it reads there; an older version does not, and is connected to as before.

Tests: TestMessagesReturnOverThePeersConnection (the peer's address cannot be reached), TestMessagesToAPeerOfAnOlderVersion.

--- a/link/accept.go
+++ b/link/accept.go
@@ -46,6 +46,9 @@
 		return
 	}
 	defer func() { _ = s.CloseNow() }()
+	if r.URL.Query().Has(returnQuery) {
+		defer h.addReturnPath(from, s)()
+	}
 	if err := h.receive(s, from); err != nil {
 		h.options.OnError(errors.Annotatef(err, "peer %s", from))
 	}
@@ -87,7 +90,7 @@
 	for {
 		_, data, err := s.Read(h.context)
 		if err != nil {
-			// The peer has stopped or restarted, which is not an error.
+			// The connection has ended, which is not an error of the peer.
 			return nil //nolint:nilerr // see above
 		}
 		m, err := Decode(data)
--- a/link/dial.go
+++ b/link/dial.go
@@ -30,8 +30,9 @@
 	pingTimeout  = time.Second
 )
 
-// Hub maintains one outgoing connection to each peer to which a message was
-// ever sent, and accepts the connections of peers.
+// Hub accepts the connections of peers and sends messages over them. To each
+// other peer to which a message was ever sent, it maintains a connection of its
+// own.
 type Hub struct {
 	options Options
 	context context.Context
@@ -40,7 +41,10 @@
 	// queues holds the encoded messages that wait for each peer. One goroutine
 	// per queue sends them.
 	queues map[catalog.VMID]chan []byte
-	client *http.Client
+	// returnPaths holds the newest open connection of each peer that has
+	// connected to this process and reads messages on the connection.
+	returnPaths map[catalog.VMID]*returnPath
+	client      *http.Client
 }
 
 // NewHub returns a hub that works until Close is called.
@@ -48,7 +52,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Hub{
 		options: o, context: ctx, stop: stop, queues: map[catalog.VMID]chan []byte{},
-		client: &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(dialTimeout).DialContext}},
+		returnPaths: map[catalog.VMID]*returnPath{},
+		client:      &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(dialTimeout).DialContext}},
 	}
 }
 
@@ -66,12 +71,7 @@
 		return
 	}
 	h.mutex.Lock()
-	q := h.queues[to]
-	if q == nil && h.options.Address(to) != "" {
-		q = make(chan []byte, peerQueueLength)
-		h.queues[to] = q
-		go h.maintainConnection(to, q)
-	}
+	q := h.queueFor(to)
 	h.mutex.Unlock()
 	if q == nil {
 		return
@@ -89,11 +89,11 @@
 	wait := minRedialDelay
 	for h.context.Err() == nil {
 		ctx, cancel := context.WithTimeout(h.context, dialTimeout)
-		s, err := h.dial(ctx, to, PeerPath)
+		s, err := h.dial(ctx, to, PeerPath+"?"+returnQuery)
 		cancel()
 		if err == nil {
 			wait = minRedialDelay
-			h.sendQueued(s, q)
+			h.sendQueued(s, to, q)
 			_ = s.CloseNow()
 			continue
 		}
@@ -157,16 +157,15 @@
 	return nil
 }
 
-// sendQueued sends queued messages until the connection fails. The peer sends
-// nothing after the handshake, so the end of the read means that the connection
-// was closed.
-func (h *Hub) sendQueued(s *websocket.Conn, q chan []byte) {
-	closed := s.CloseRead(h.context)
+// sendQueued sends queued messages, and receives those of the peer, until the
+// connection fails.
+func (h *Hub) sendQueued(s *websocket.Conn, to catalog.VMID, q chan []byte) {
+	closed := h.receiveReturns(s, to)
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-closed.Done():
+		case <-closed:
 			return
 		case <-ticker.C:
 			if !h.ping(s) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -51,6 +51,66 @@
 	}
 }
 
+// awaitFence waits for a fence acknowledgement of the given epoch.
+func awaitFence(t *testing.T, got chan wire.Message, epoch catalog.Epoch) {
+	t.Helper()
+	select {
+	case m := <-got:
+		if m.FenceAck == nil || m.FenceAck.Epoch != epoch {
+			t.Fatalf("got %+v", m)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("no message arrived")
+	}
+}
+
+// A message to a peer that has connected must need no connection of its own, a
+// new connection of the peer must replace the earlier one, and once the peer's
+// connection has ended, the hub must connect to the peer.
+func TestMessagesReturnOverThePeersConnection(t *testing.T) {
+	const unreachable = "127.0.0.1:1"
+	peers := map[catalog.VMID]string{"a": unreachable}
+	b, gotAtB, _ := startHub(t, "b", "key", peers)
+	addresses := map[catalog.VMID]string{"b": peers["b"]}
+	first, gotAtFirst, _ := startHub(t, "a", "key", addresses)
+	first.Send("b", wire.Message{FenceAck: &wire.FenceAck{VM: "a", Epoch: 1}})
+	awaitFence(t, gotAtB, 1)
+	b.Send("a", wire.Message{FenceAck: &wire.FenceAck{VM: "b", Epoch: 2}})
+	awaitFence(t, gotAtFirst, 2)
+
+	second, gotAtSecond, _ := startHub(t, "a", "key", addresses)
+	second.Send("b", wire.Message{FenceAck: &wire.FenceAck{VM: "a", Epoch: 3}})
+	awaitFence(t, gotAtB, 3)
+	first.Close()
+	b.Send("a", wire.Message{FenceAck: &wire.FenceAck{VM: "b", Epoch: 4}})
+	awaitFence(t, gotAtSecond, 4)
+
+	second.Close()
+	third, gotAtThird, _ := startHub(t, "a", "key", peers)
+	defer third.Close()
+	for end := time.Now().Add(5 * time.Second); len(gotAtThird) == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no message arrived after the peer's connection had ended")
+		}
+		b.Send("a", wire.Message{FenceAck: &wire.FenceAck{VM: "b", Epoch: 5}})
+	}
+}
+
+// A peer of an older version, which reads no messages on the connection that it
+// has opened, must get messages over a connection of the hub.
+func TestMessagesToAPeerOfAnOlderVersion(t *testing.T) {
+	peers := map[catalog.VMID]string{}
+	b, _, _ := startHub(t, "b", "key", peers)
+	a, gotAtA, _ := startHub(t, "a", "key", peers)
+	s, err := a.dial(t.Context(), "b", PeerPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.CloseNow() }()
+	b.Send("a", wire.Message{FenceAck: &wire.FenceAck{VM: "b", Epoch: 1}})
+	awaitFence(t, gotAtA, 1)
+}
+
 // A peer with another key must fail the handshake, and none of its messages may
 // be received.
 func TestPeerWithAnotherKeyIsRefused(t *testing.T) {
