node: tell entries who leads control next

Cause: when control's leader stops or loses its majority, its entries find out by an unanswered report, then ask all control VMs until one names the next leader.

Change: a VM that led tells the entries that reported to it who leads next, as soon as it knows, and a planned stop leaves 50 ms for that. An entry takes this from its present leader also when its last report was answered, and reports to the next leader at once.

Tests, both fail before: TestNextLeaderIsAnnounced, TestFormerLeaderNamesTheNext.

--- a/node/control.go
+++ b/node/control.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -47,10 +48,16 @@
 	now          catalog.Instant
 	effects      []Effect
 	timerAt      catalog.Instant
-	// draining is set during a planned stop, which drainDeadline limits.
+	// draining is set during a planned stop, which drainDeadline limits. The stop
+	// waits until flushedAt, so that the last messages are sent.
 	draining      bool
 	drainDeadline catalog.Instant
+	flushedAt     catalog.Instant
 	stopped       bool
+	// formerEntries holds the entries that reported to this VM when it last led,
+	// with the sequences of their last reports. It is empty while this VM leads,
+	// and once the entries were told of the next leader.
+	formerEntries map[catalog.VMID]uint64
 	// entryCounts holds the number of entry VMs of each site.
 	entryCounts map[catalog.SiteID]int
 
@@ -214,10 +221,14 @@
 		c.sweep()
 	}
 	c.requestJoin()
+	c.announceNextLeader()
 	c.finishDrain()
 	at := c.quorum.NextTick()
 	if c.draining && !c.stopped {
 		at = min(at, c.drainDeadline)
+		if c.flushedAt.After(c.now) {
+			at = min(at, c.flushedAt)
+		}
 	}
 	if c.isLeader && c.nextSweepAt < at {
 		at = c.nextSweepAt
@@ -243,6 +254,12 @@
 		return
 	}
 	waiting := c.pendingCommands()
+	c.formerEntries = map[catalog.VMID]uint64{}
+	if !leading {
+		for vm, v := range c.entries {
+			c.formerEntries[vm] = v.sequence
+		}
+	}
 	c.resetLeaderState()
 	c.isLeader = leading
 	if !leading {
@@ -314,16 +331,35 @@
 	c.applyQuorumOutput(c.quorum.TransferLeadership(c.now))
 }
 
+// flushTime is how long a planned stop leaves for messages to be sent.
+const flushTime = 50 * time.Millisecond
+
+// announceNextLeader tells the entries that reported to this VM when it led who
+// leads now. They need a renewal of their leases from the next leader before the
+// present ones expire, and would otherwise find that leader by asking all control
+// VMs.
+func (c *Control) announceNextLeader() {
+	leader := c.quorum.Leader()
+	if len(c.formerEntries) == 0 || leader == "" || leader == c.options.VM {
+		return
+	}
+	for _, vm := range slices.Sorted(maps.Keys(c.formerEntries)) {
+		c.emit(SendMessage{To: vm, Message: wire.Message{Answer: &wire.Answer{
+			Leader: leader, Refused: true, Sequence: c.formerEntries[vm],
+		}}})
+	}
+	c.formerEntries, c.flushedAt = nil, c.now.Add(flushTime)
+}
+
 // finishDrain ends a planned stop when another VM leads or at the deadline.
 func (c *Control) finishDrain() {
 	if !c.draining || c.stopped {
 		return
 	}
 	leader := c.quorum.Leader()
-	if leader == "" || leader == c.options.VM {
-		if c.now.Before(c.drainDeadline) {
-			return
-		}
+	isReplaced := leader != "" && leader != c.options.VM && !c.now.Before(c.flushedAt)
+	if !isReplaced && c.now.Before(c.drainDeadline) {
+		return
 	}
 	c.stopped = true
 	c.emit(Stopped{})
--- a/node/control_members_test.go
+++ b/node/control_members_test.go
@@ -18,6 +18,8 @@
 	down     map[catalog.VMID]bool
 	inFlight []SendMessage
 	senders  []catalog.VMID
+	// onSend is called for each message, if not nil.
+	onSend func(SendMessage)
 }
 
 func newControlCluster(voters int, first []catalog.VMID, joining []catalog.VMID) *controlCluster {
@@ -51,6 +53,9 @@
 		case Persist:
 			w.step(vm, Persisted{Token: v.Token})
 		case SendMessage:
+			if w.onSend != nil {
+				w.onSend(v)
+			}
 			w.inFlight, w.senders = append(w.inFlight, v), append(w.senders, vm)
 		}
 	}
@@ -147,3 +152,26 @@
 		So(w.vms[follower].joinRequests, ShouldBeEmpty)
 	})
 }
+
+// TestNextLeaderIsAnnounced guards against entries whose leases end during a
+// planned stop of the leader, because they have to search for the next one.
+func TestNextLeaderIsAnnounced(t *testing.T) {
+	Convey("a leader that stops tells its entries who leads next, before it ends", t, func() {
+		w := newControlCluster(3, []catalog.VMID{"c1", "c2", "c3"}, nil)
+		w.advance(2 * time.Second)
+		old := w.leader()
+		w.step(old.options.VM, MessageReceived{From: "e1", Message: wire.Message{Report: &wire.Report{VM: "e1", Site: "s1", Incarnation: 1, Sequence: 7}}})
+		var named catalog.VMID
+		w.onSend = func(m SendMessage) {
+			if m.To == "e1" && m.Message.Answer != nil && m.Message.Answer.Refused && m.Message.Answer.Sequence == 7 {
+				So(old.stopped, ShouldBeFalse)
+				named = m.Message.Answer.Leader
+			}
+		}
+		w.step(old.options.VM, DrainRequested{})
+		w.advance(100 * time.Millisecond)
+		So(w.leader(), ShouldNotEqual, old)
+		So(named, ShouldEqual, w.leader().options.VM)
+		So(old.stopped, ShouldBeTrue)
+	})
+}
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -268,8 +268,9 @@
 func (e *Entry) handleAnswer(from catalog.VMID, a wire.Answer) {
 	p := &e.report
 	sent, ok := p.sentAt[a.Sequence]
-	if a.Sequence == p.answeredSequence && from == p.leader && !a.Refused {
-		// Control sends changes as a further answer to the last report.
+	if a.Sequence == p.answeredSequence && from == p.leader {
+		// Control sends changes as a further answer to the last report, and so
+		// does a former leader that names the next one.
 		sent, ok = p.answeredSentAt, true
 	}
 	if !ok {
--- a/node/entry_report_test.go
+++ b/node/entry_report_test.go
@@ -75,6 +75,26 @@
 	})
 }
 
+// TestFormerLeaderNamesTheNext guards against an entry that searches for the next
+// leader although the former one has named it.
+func TestFormerLeaderNamesTheNext(t *testing.T) {
+	o := testOptions()
+	o.Control = []catalog.VMID{"c1", "c2", "c3"}
+	at := func(ms int) catalog.Instant { return catalog.Instant(time.Duration(ms) * time.Millisecond) }
+	Convey("an entry whose last report was answered reports at once to the leader that its former leader names", t, func() {
+		e := NewEntry(o)
+		_, first := reportsOf(e.Step(Event{Now: at(1), Input: TimerFired{}}))
+		e.Step(Event{Now: at(10), Input: answerFrom("c2", wire.Answer{Leader: "c2", Version: 1, Sequence: first.Sequence})})
+		So(e.report.leader, ShouldEqual, catalog.VMID("c2"))
+		next := wire.Answer{Leader: "c3", Refused: true, Sequence: first.Sequence}
+		to, _ := reportsOf(e.Step(Event{Now: at(20), Input: answerFrom("c1", next)}))
+		So(to, ShouldBeEmpty)
+		So(e.report.leader, ShouldEqual, catalog.VMID("c2"))
+		to, _ = reportsOf(e.Step(Event{Now: at(21), Input: answerFrom("c2", next)}))
+		So(to, ShouldResemble, []catalog.VMID{"c3"})
+	})
+}
+
 // TestEntryAnnouncements guards against announcements that entries relay to
 // each other in a loop, and against a wrong number of observers.
 func TestEntryAnnouncements(t *testing.T) {
