node, daemon: keep control's lead under the load of a large fleet

A new leader learns the roles of 60 upstreams within a heartbeat of theirs and pushed each of these changes to each of 295 entries; meanwhile the entries asked all five control VMs every 67 ms who leads. Agreement messages and syncs waited in the same queue behind all that, so the leader took its followers for silent.

Change: agreement messages, syncs and answers of control are handled before all other inputs (node.IsUrgent). A control VM that knows no leader tells the entries that asked as soon as there is one, so an entry that any control VM answers asks at its usual interval.

--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -54,7 +54,9 @@
 // Loop is the event loop of a reducer. Only the goroutine of Run calls step and
 // execute.
 type Loop struct {
-	clock   Clock
+	clock Clock
+	// urgent holds the inputs that are handled before all others.
+	urgent  chan node.Input
 	inputs  chan node.Input
 	step    func(node.Event) []node.Effect
 	execute func(node.Effect)
@@ -63,12 +65,19 @@
 
 // NewLoop returns an event loop that calls a reducer's Step for each event.
 func NewLoop(clock Clock, step func(node.Event) []node.Effect) *Loop {
-	return &Loop{clock: clock, inputs: make(chan node.Input, inputQueueLength), step: step, timer: time.NewTimer(0)}
+	return &Loop{
+		clock: clock, step: step, timer: time.NewTimer(0),
+		urgent: make(chan node.Input, inputQueueLength), inputs: make(chan node.Input, inputQueueLength),
+	}
 }
 
 // Feed queues an input for the reducer and blocks while the queue is full. It
 // may be called from any goroutine except the one that runs Run.
 func (l *Loop) Feed(in node.Input) {
+	if node.IsUrgent(in) {
+		l.urgent <- in
+		return
+	}
 	l.inputs <- in
 }
 
@@ -78,9 +87,17 @@
 func (l *Loop) Run(ctx context.Context, execute func(node.Effect)) {
 	l.execute = execute
 	for {
+		select {
+		case in := <-l.urgent:
+			l.handle(in)
+			continue
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case in := <-l.urgent:
+			l.handle(in)
 		case in := <-l.inputs:
 			l.handle(in)
 		case <-l.timer.C:
--- a/node/control.go
+++ b/node/control.go
@@ -54,10 +54,10 @@
 	drainDeadline catalog.Instant
 	flushedAt     catalog.Instant
 	stopped       bool
-	// formerEntries holds the entries that reported to this VM when it last led,
-	// with the sequences of their last reports. It is empty while this VM leads,
-	// and once the entries were told of the next leader.
-	formerEntries map[catalog.VMID]uint64
+	// uninformedEntries holds the entries that reported to this VM while it led
+	// or knew no leader, with the sequences of their last reports. They are told
+	// who leads as soon as this VM knows.
+	uninformedEntries map[catalog.VMID]uint64
 	// entryCounts holds the number of entry VMs of each site.
 	entryCounts map[catalog.SiteID]int
 
@@ -97,6 +97,10 @@
 	// revision counts the changes of upstreams. It never decreases while the
 	// process runs, not even when leadership changes.
 	revision uint64
+	// pushedRevision is the revision that was last pushed to the entries, and
+	// nextPushAt is when a later one may be pushed.
+	pushedRevision uint64
+	nextPushAt     catalog.Instant
 	// unreachableSince holds since when a member has not responded.
 	unreachableSince map[catalog.VMID]catalog.Instant
 	replacement      *replacement
@@ -116,7 +120,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Control{options: o, state: state, appliedIndex: o.Saved.Snapshot.Index, now: now}
+	c := &Control{
+		options: o, state: state, appliedIndex: o.Saved.Snapshot.Index, now: now,
+		uninformedEntries: map[catalog.VMID]uint64{},
+	}
 	c.quorum = quorum.New(quorum.Settings{
 		HeartbeatInterval: o.Timings.HeartbeatInterval,
 		ElectionTimeout:   o.Timings.ElectionTimeout,
@@ -144,7 +151,7 @@
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
-	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextSitesAt = 0, 0, 0
+	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextSitesAt, c.nextPushAt = 0, 0, 0, 0
 	c.sites = map[catalog.SiteID]siteView{}
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
@@ -221,7 +228,7 @@
 		c.sweep()
 	}
 	c.requestJoin()
-	c.announceNextLeader()
+	c.announceLeader()
 	c.finishDrain()
 	at := c.quorum.NextTick()
 	if c.draining && !c.stopped {
@@ -254,10 +261,9 @@
 		return
 	}
 	waiting := c.pendingCommands()
-	c.formerEntries = map[catalog.VMID]uint64{}
 	if !leading {
 		for vm, v := range c.entries {
-			c.formerEntries[vm] = v.sequence
+			c.uninformedEntries[vm] = v.sequence
 		}
 	}
 	c.resetLeaderState()
@@ -304,6 +310,7 @@
 func (c *Control) sweep() {
 	c.proposeInitialServices()
 	c.updateSites()
+	c.pushChangedUpstreams()
 	c.checkSuspects()
 	c.followPrimaries()
 	c.keepConnectionsOpen()
@@ -334,21 +341,22 @@
 // flushTime is how long a planned stop leaves for messages to be sent.
 const flushTime = 50 * time.Millisecond
 
-// announceNextLeader tells the entries that reported to this VM when it led who
-// leads now. They need a renewal of their leases from the next leader before the
-// present ones expire, and would otherwise find that leader by asking all control
-// VMs.
-func (c *Control) announceNextLeader() {
+// announceLeader tells the entries that don't know it who leads. They need a
+// renewal of their leases before the present ones expire, and would otherwise
+// find the leader only by asking all control VMs again and again, which costs
+// these their processor time just when they elect one.
+func (c *Control) announceLeader() {
 	leader := c.quorum.Leader()
-	if len(c.formerEntries) == 0 || leader == "" || leader == c.options.VM {
+	if len(c.uninformedEntries) == 0 || leader == "" || leader == c.options.VM && !c.isLeader {
 		return
 	}
-	for _, vm := range slices.Sorted(maps.Keys(c.formerEntries)) {
+	for _, vm := range slices.Sorted(maps.Keys(c.uninformedEntries)) {
 		c.emit(SendMessage{To: vm, Message: wire.Message{Answer: &wire.Answer{
-			Leader: leader, Refused: true, Sequence: c.formerEntries[vm],
+			Leader: leader, Refused: true, Sequence: c.uninformedEntries[vm],
 		}}})
 	}
-	c.formerEntries, c.flushedAt = nil, c.now.Add(flushTime)
+	clear(c.uninformedEntries)
+	c.flushedAt = c.now.Add(flushTime)
 }
 
 // finishDrain ends a planned stop when another VM leads or at the deadline.
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -31,6 +31,9 @@
 	// upstreamsMark identifies the upstreams that the entry knew at its last
 	// report.
 	upstreamsMark wire.UpstreamsMark
+	// sentRevision is the revision of the upstreams in the newest answer that
+	// was sent to the entry.
+	sentRevision uint64
 	// membersSentAt is when the entry was last sent the list of control VMs.
 	membersSentAt catalog.Instant
 	// demandsUnchanged and primariesMark are from the last report.
@@ -104,20 +107,12 @@
 	u.announcement, u.announcedAt = a, c.now
 	if changed {
 		c.advanceRevision(u)
-		c.pushUpstreams()
 	}
 	if mustEnroll {
 		c.proposeEnrollment(a)
 	}
 }
 
-// pushUpstreams sends changed upstreams to all entries immediately.
-func (c *Control) pushUpstreams() {
-	if c.options.DistributesUpstreams {
-		c.pushAll()
-	}
-}
-
 func (c *Control) trackUpstream(a catalog.Announcement) {
 	a.Leaving = a.Leaving || c.state.IsRetired(a.Instance, a.Incarnation)
 	u := &upstreamView{announcement: a, announcedAt: c.now}
@@ -128,7 +123,6 @@
 	c.upstreamsByService[a.Service] = group
 	c.markSuspect(a.Service)
 	c.keepConnectionOpen(u)
-	c.pushUpstreams()
 	c.proposeEnrollment(a)
 }
 
@@ -156,6 +150,9 @@
 		return
 	}
 	if !c.isLeader {
+		if leader := c.quorum.Leader(); leader == "" || leader == c.options.VM {
+			c.uninformedEntries[from] = r.Sequence
+		}
 		c.emit(SendMessage{To: from, Message: wire.Message{Answer: &wire.Answer{
 			Leader: c.quorum.Leader(), Refused: true, Sequence: r.Sequence, Members: c.memberVMs(),
 		}}})
@@ -279,6 +276,7 @@
 		v.sentFromVersion, v.sentArrivesAt = v.settingsVersion, c.now.Add(time.Duration(len(a.Routes))*routeTransferTime)
 	}
 	c.addUpstreamsToAnswer(a, v.upstreamsMark)
+	v.sentRevision = c.revision
 	c.addEntriesToAnswer(a, v)
 	if c.options.Entries == nil && (v.membersSentAt == 0 || c.now.Sub(v.membersSentAt) > membersInterval) {
 		v.membersSentAt = c.now
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/registry"
@@ -72,7 +73,29 @@
 	c.log("control", "An upstream is leaving.", "instance", string(r.Instance), "service", string(u.announcement.Service),
 		"life", strconv.FormatUint(r.Incarnation, 10))
 	c.markSuspect(u.announcement.Service)
-	c.pushAll()
+}
+
+// pushTime is the least time between two pushes of upstreams for each entry that
+// got the first one. It keeps most of the processor free for reports, whose
+// answers hold the same changes.
+const pushTime = time.Millisecond
+
+// pushChangedUpstreams sends changed upstreams to the entries that were not sent
+// them in answers to reports. A new leader learns the roles of all upstreams
+// within a heartbeat of theirs. Without the pause, each of these changes would be
+// sent to each entry, and with hundreds of entries a leader that is busy with
+// that loses its lead.
+func (c *Control) pushChangedUpstreams() {
+	if !c.options.DistributesUpstreams || c.pushedRevision == c.revision || c.now.Before(c.nextPushAt) {
+		return
+	}
+	c.pushedRevision, c.nextPushAt = c.revision, c.now
+	for _, vm := range c.entryVMs() {
+		if c.entries[vm].sentRevision < c.revision {
+			c.push(vm)
+			c.nextPushAt = c.nextPushAt.Add(pushTime)
+		}
+	}
 }
 
 // advanceRevision marks an upstream as changed, so that it is sent to the
@@ -98,6 +121,10 @@
 	if have.Leader == c.options.VM {
 		since = have.Revision
 	}
+	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: c.revision}
+	if since == c.revision {
+		return
+	}
 	// Upstreams of services that are not configured yet are included, since
 	// UpstreamsMark states that the entry has all upstreams.
 	for _, id := range slices.Sorted(maps.Keys(c.upstreamsByService)) {
@@ -107,7 +134,6 @@
 			}
 		}
 	}
-	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: c.revision}
 }
 
 // proposeEnrollment records an upstream in the agreed state, so that the next
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -15,7 +15,8 @@
 	// the leader may take to answer before other control VMs get the report.
 	answerTimeoutDivisor = 2
 	// leaderSearchFactor is how many times more often an entry sends reports
-	// while it knows no leader.
+	// while it knows no leader and no control VM answers. One that answers also
+	// tells who leads as soon as it knows.
 	leaderSearchFactor = 3
 	// maxOutstandingReports is the number of recent reports whose answers are
 	// still accepted.
@@ -139,8 +140,7 @@
 	p.urgent = false
 	p.lastSentAt, p.wasSent = e.now, true
 	p.nextAt = e.now.Add(e.options.Timings.ReportInterval)
-	if e.options.UpstreamsFromControl && p.leader == "" {
-		// Report more often, to find the next leader soon after its election.
+	if e.options.UpstreamsFromControl && p.leader == "" && e.now.Sub(p.controlAnsweredAt) > e.options.Timings.ReportInterval {
 		p.nextAt = e.now.Add(e.options.Timings.ReportInterval / leaderSearchFactor)
 	}
 	p.sentAt[p.sequence] = e.now
@@ -311,8 +311,7 @@
 	e.clearReported(a.Sequence)
 }
 
-// handleRefusal handles an answer of a control VM that is not the leader, and
-// that may name the leader.
+// handleRefusal handles an answer that renews nothing and may name the leader.
 func (e *Entry) handleRefusal(from catalog.VMID, a wire.Answer) {
 	p := &e.report
 	if p.leader != "" && p.leader != from {
@@ -324,7 +323,7 @@
 		return
 	}
 	p.setLeader("")
-	if a.Leader != "" && a.Leader != from {
+	if a.Leader != "" {
 		p.setLeader(a.Leader)
 		p.urgent = p.unanswered <= e.unansweredLimit()
 	}
--- a/node/event.go
+++ b/node/event.go
@@ -28,6 +28,21 @@
 	Message wire.Message
 }
 
+// IsUrgent reports whether an input must not wait behind the others. A leader of
+// control whose agreement messages wait behind hundreds of reports loses its
+// lead, and an entry whose leases wait behind its callers' requests can't serve
+// these.
+func IsUrgent(in Input) bool {
+	switch v := in.(type) {
+	case Persisted:
+		return true
+	case MessageReceived:
+		m := v.Message
+		return m.Quorum != nil || m.FenceAck != nil || m.Answer != nil || m.Revoke != nil
+	}
+	return false
+}
+
 // AnnouncementReceived delivers an announcement that an upstream sent to this
 // process.
 type AnnouncementReceived struct {
