--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 soak: build
 	$(BIN)/kingcupknot-soak --program $(BIN)/kingcupknotd --seeds $(SEEDS) --seed-base $(SEED_BASE) --length $(LENGTH) --lanes $(LANES)
 
-# Runs a short soak: two fixed seeds, all seeds that once failed, and a new seed.
+# Runs a short soak: three fixed seeds and all seeds that once failed.
 .PHONY: soak-short
 soak-short: build
 	sh scripts/soak-short.sh
