session: send another error after each statement that crosses the end

Cause: a caller whose statement crossed the error that ends its session took the error as an answer, as it should, and went on with the next statement.

Change: the refused statement is followed by another error, which an idle caller takes as the end of its session.

--- a/session/session.go
+++ b/session/session.go
@@ -123,9 +123,9 @@
 }
 
 // end ends the session between two statements of the caller. The error that end
-// sends tells an idle caller to connect again. It is also the answer to the first
-// statement that the caller may have sent meanwhile; the other statements get it
-// again. None of them runs.
+// sends makes an idle caller close the connection. If the caller has sent a
+// statement meanwhile, the error is the answer to it. The statement does not run,
+// and another error follows for the caller that is idle then.
 func (c *session) end() {
 	const reason = "not run: this entry ends the session; connect again"
 	code := CodeBusy
@@ -133,18 +133,14 @@
 		code = CodeAborted
 	}
 	c.caller.InterruptAt(time.Now().Add(sessionEndGrace))
-	c.caller.Refuse(code, reason)
-	for isFirst := true; ; isFirst = false {
+	for {
+		c.caller.Refuse(code, reason)
 		st, err := c.caller.Receive()
 		if err != nil {
 			return
 		}
 		c.server.logDecision(Decision{Request: st.ID, Database: c.database, Verb: st.Verb, Verdict: verdictNames[node.VerdictNotRun], Reason: reason})
-		a := Answer{Code: code, Text: reason, State: c.state()}
-		if isFirst {
-			a = Answer{Body: []byte{}, State: c.state()}
-		}
-		if c.caller.Answer(a) != nil {
+		if c.caller.Answer(Answer{Body: []byte{}, State: c.state()}) != nil {
 			return
 		}
 	}
