capacity, slopes: play the recovery of a fleet in virtual time

The reducers alone show what a leader can bear, if its processor takes time.

What: kingcupknot-slopes recover plays the loss of control's leader and, a second later, of 57 % of the entries for 1.7 s, with the real reducers of five control VMs and all entries, queues in the order of daemon.Loop, and processor times of a VM with 0.48 of a core. It prints how many leaders followed and when the entries had leases again. The platform's timings move to the catalog, where both use them.

Test: TestRecoveryOfAFleet, one leader and leases within a second at 23 and at 300 entries.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -123,6 +123,31 @@
 	GrantLength time.Duration
 }
 
+// HostedTimings returns timings for sites that are a few milliseconds apart, and
+// for VMs that have a fraction of a core and may pause for 100 ms. drainTimeout
+// is Timings.DrainTimeout.
+func HostedTimings(drainTimeout time.Duration) Timings {
+	return Timings{
+		ReportInterval: 200 * time.Millisecond,
+		ProbeInterval:  300 * time.Millisecond,
+		ProbeTimeout:   300 * time.Millisecond,
+		SuspectTimeout: 600 * time.Millisecond,
+		// A lease is long enough for a change of the control leader, which
+		// takes twice the minimum election timeout, followed by a report for
+		// which the entry looks for the new leader among the control VMs.
+		LeaseLength:     650 * time.Millisecond,
+		MaxDrift:        50 * time.Millisecond,
+		AnnouncementTTL: 4 * time.Second,
+		// Three heartbeats, or a pause of a VM, fit into the election timeout.
+		HeartbeatInterval: 60 * time.Millisecond,
+		ElectionTimeout:   200 * time.Millisecond,
+		DrainTimeout:      drainTimeout,
+		// Upstreams enforce their connection limits themselves, so grants may
+		// outlast leases.
+		GrantLength: 10 * time.Second,
+	}
+}
+
 // DefaultTimings returns timings for sites with a network latency of a few
 // milliseconds between them.
 func DefaultTimings() Timings {
--- a/cmd/kingcupknot-slopes/main.go
+++ b/cmd/kingcupknot-slopes/main.go
@@ -18,16 +18,23 @@
 	JSON  string `long:"json" value-name:"FILE" description:"Write the report as JSON."`
 	Text  string `long:"text" value-name:"FILE" description:"Write the tables to a file, too."`
 	From  string `long:"from" value-name:"FILE" description:"Derive the figures from a report instead of measuring."`
+
+	Recover recoverCommand `command:"recover" description:"Play the loss of control's leader and of most entries, at several sizes."`
 }
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	parser := flags.NewParser(&o, flags.Default)
+	parser.SubcommandsOptional = true
+	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return
 		}
 		os.Exit(2)
 	}
+	if parser.Active != nil {
+		return
+	}
 	if err := run(o, os.Stdout); err != nil {
 		_, _ = os.Stderr.WriteString("slopes: " + err.Error() + "\n")
 		os.Exit(1)
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -35,30 +35,6 @@
 	process
 }
 
-// hostedTimings returns timings for sites that are a few milliseconds apart,
-// and for VMs that have a fraction of a core and may pause for 100 ms.
-func hostedTimings(s *platform.Settings) catalog.Timings {
-	return catalog.Timings{
-		ReportInterval: 200 * time.Millisecond,
-		ProbeInterval:  300 * time.Millisecond,
-		ProbeTimeout:   300 * time.Millisecond,
-		SuspectTimeout: 600 * time.Millisecond,
-		// A lease is long enough for a change of the control leader, which
-		// takes twice the minimum election timeout, followed by a report for
-		// which the entry looks for the new leader among the control VMs.
-		LeaseLength:     650 * time.Millisecond,
-		MaxDrift:        50 * time.Millisecond,
-		AnnouncementTTL: 4 * time.Second,
-		// Three heartbeats, or a pause of a VM, fit into the election timeout.
-		HeartbeatInterval: 60 * time.Millisecond,
-		ElectionTimeout:   200 * time.Millisecond,
-		DrainTimeout:      s.StopTimeout - s.ListenerCloseDelay() - stopReserve,
-		// Upstreams enforce their connection limits themselves, so grants may
-		// outlast leases.
-		GrantLength: 10 * time.Second,
-	}
-}
-
 // stopReserve is the part of the stop timeout that is left for the exit of the
 // process after all work has ended.
 const stopReserve = 500 * time.Millisecond
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -25,7 +25,7 @@
 func (h *hosted) runEntry(ctx context.Context, drain <-chan struct{}) error {
 	entry := node.NewEntry(node.EntryOptions{
 		VM: h.settings.VM, Site: h.settings.Site, Incarnation: uint64(time.Now().UnixNano()), Seed: randomUint64(),
-		Timings: hostedTimings(h.settings), Control: h.settings.Seeds, UpstreamsFromControl: true,
+		Timings: catalog.HostedTimings(h.settings.StopTimeout - h.settings.ListenerCloseDelay() - stopReserve), Control: h.settings.Seeds, UpstreamsFromControl: true,
 	})
 	h.loop = NewLoop(h.clock, entry.Step)
 	pool := session.NewPool(h.poolOptions())
