node: don't send upstreams again while they are on their way

Cause: each answer and each push held all upstreams that had changed since the mark in the entry's last report. With hundreds of upstreams that announce themselves to a new leader, the list takes longer than a report interval over 2 Mbit/s, so each report brought the list again, and each push the whole of it. The links were full (161 kB a second of 250 on the median entry at 30 machines, where the statements need few), so leases ended, control replaced primaries 286 times, and each change of role was pushed again.

Change: until an entry has confirmed a list, or must have had the time to, its answers hold no upstreams. A restarted entry gets them at once, as it now does with the configuration.

Test: TestUpstreamsOnASlowLink, fails before (1,500 announcements sent in place of 300).

--- a/node/control_load_test.go
+++ b/node/control_load_test.go
@@ -73,6 +73,53 @@
 	})
 }
 
+// TestUpstreamsOnASlowLink guards against a link that is full of repeated lists
+// of upstreams: the entry's reports, sent before the first list has arrived, make
+// control send the list again and again.
+func TestUpstreamsOnASlowLink(t *testing.T) {
+	const (
+		upstreams = 300
+		// The list takes 250 ms over a link of 2 Mbit/s that carries as much
+		// again, and the entry reports every 50 ms.
+		transfer = 250 * time.Millisecond
+		interval = 50 * time.Millisecond
+	)
+	report := func(w *soloControl, incarnation, sequence uint64, mark wire.UpstreamsMark) int {
+		before := len(w.sentMessages)
+		w.step(MessageReceived{From: "e1", Message: wire.Message{Report: &wire.Report{
+			VM: "e1", Site: "s1", Incarnation: incarnation, Sequence: sequence, SettingsVersion: 1, UpstreamsMark: mark, EntriesMark: 1,
+		}}})
+		sent := 0
+		for _, m := range w.sentMessages[before:] {
+			sent += len(m.Message.Answer.Upstreams)
+		}
+		return sent
+	}
+	Convey("an entry gets the list once, and a restarted one gets it at once", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		So(w.runCommand(adoptCommand(1, time.Second)).Code, ShouldEqual, ReplyOK)
+		for n := range upstreams {
+			a := testAnnouncement(catalog.InstanceID(fmt.Sprint("i", n)), catalog.RoleReplica, 1)
+			w.step(AnnouncementReceived{Announcement: a})
+		}
+		sent, sequence := 0, uint64(0)
+		for at := time.Duration(0); at < transfer; at += interval {
+			sequence++
+			sent += report(w, 1, sequence, wire.UpstreamsMark{})
+			w.advance(interval)
+		}
+		So(sent, ShouldEqual, upstreams)
+		confirmed := wire.UpstreamsMark{Leader: "c1", Revision: w.control.revision}
+		So(report(w, 1, sequence+1, confirmed), ShouldEqual, 0)
+		So(report(w, 2, 1, wire.UpstreamsMark{}), ShouldEqual, upstreams)
+		So(report(w, 3, 1, wire.UpstreamsMark{}), ShouldEqual, upstreams)
+		Convey("and a list that was lost is sent again", func() {
+			w.advance(time.Second)
+			So(report(w, 3, 2, wire.UpstreamsMark{}), ShouldEqual, upstreams)
+		})
+	})
+}
+
 // TestLeaderIsAnnouncedToThoseWhoAsked guards against entries that keep asking
 // all control VMs during an election, which delays the election.
 func TestLeaderIsAnnouncedToThoseWhoAsked(t *testing.T) {
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -31,9 +31,11 @@
 	// upstreamsMark identifies the upstreams that the entry knew at its last
 	// report.
 	upstreamsMark wire.UpstreamsMark
-	// sentRevision is the revision of the upstreams in the newest answer that
-	// was sent to the entry.
-	sentRevision uint64
+	// sentRevision is the revision of the upstreams that were last sent to the
+	// entry. upstreamsArriveAt is when they must have arrived and the entry must
+	// have reported that.
+	sentRevision      uint64
+	upstreamsArriveAt catalog.Instant
 	// membersSentAt is when the entry was last sent the list of control VMs.
 	membersSentAt catalog.Instant
 	// demandsUnchanged and primariesMark are from the last report.
@@ -162,6 +164,10 @@
 	if r.Incarnation == v.incarnation && r.Sequence <= v.sequence || r.Incarnation < v.incarnation && c.hasRecentReport(v) {
 		return
 	}
+	if r.Incarnation != v.incarnation {
+		// What was sent to the entry before its restart does not arrive any more.
+		v.sentArrivesAt, v.upstreamsArriveAt = 0, 0
+	}
 	v.incarnation, v.sequence, v.reportedAt = r.Incarnation, r.Sequence, c.now
 	v.settingsVersion, v.leaving, v.aliveWithin = r.SettingsVersion, r.Leaving, r.AliveWithin
 	v.upstreamsMark = r.UpstreamsMark
@@ -275,8 +281,7 @@
 		c.addSettingsToAnswer(a, v.settingsVersion)
 		v.sentFromVersion, v.sentArrivesAt = v.settingsVersion, c.now.Add(time.Duration(len(a.Routes))*routeTransferTime)
 	}
-	c.addUpstreamsToAnswer(a, v.upstreamsMark)
-	v.sentRevision = c.revision
+	c.addUpstreamsToAnswer(a, v)
 	c.addEntriesToAnswer(a, v)
 	if c.options.Entries == nil && (v.membersSentAt == 0 || c.now.Sub(v.membersSentAt) > membersInterval) {
 		v.membersSentAt = c.now
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -91,7 +91,7 @@
 	}
 	c.pushedRevision, c.nextPushAt = c.revision, c.now
 	for _, vm := range c.entryVMs() {
-		if c.entries[vm].sentRevision < c.revision {
+		if v := c.entries[vm]; v.sentRevision < c.revision && !c.areUpstreamsInFlight(v) {
 			c.push(vm)
 			c.nextPushAt = c.nextPushAt.Add(pushTime)
 		}
@@ -111,16 +111,36 @@
 	return a != old
 }
 
+// upstreamTransferTime is how long the transfer of an upstream's announcement of
+// about 100 bytes takes to an entry with a link of 2 Mbit/s that carries other
+// traffic as well.
+const upstreamTransferTime = 800 * time.Microsecond
+
+// areUpstreamsInFlight reports whether upstreams were sent to the entry that it
+// can't have confirmed yet. Without this check, each answer to a report would
+// send hundreds of upstreams again while the first of them are on their way, and
+// the link would be so full that no answer arrives.
+func (c *Control) areUpstreamsInFlight(v *entryView) bool {
+	return v.sentRevision > c.confirmedRevision(v) && c.now.Before(v.upstreamsArriveAt)
+}
+
+// confirmedRevision returns the revision of the upstreams that the entry knew at
+// its last report, zero if it got them from another leader.
+func (c *Control) confirmedRevision(v *entryView) uint64 {
+	if v.upstreamsMark.Leader != c.options.VM {
+		return 0
+	}
+	return v.upstreamsMark.Revision
+}
+
 // addUpstreamsToAnswer adds the upstreams that changed after the revision that
-// the entry has.
-func (c *Control) addUpstreamsToAnswer(a *wire.Answer, have wire.UpstreamsMark) {
-	if !c.options.DistributesUpstreams {
+// the entry has confirmed.
+func (c *Control) addUpstreamsToAnswer(a *wire.Answer, v *entryView) {
+	if !c.options.DistributesUpstreams || c.areUpstreamsInFlight(v) {
 		return
 	}
-	since := uint64(0)
-	if have.Leader == c.options.VM {
-		since = have.Revision
-	}
+	since := c.confirmedRevision(v)
+	v.sentRevision = c.revision
 	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: c.revision}
 	if since == c.revision {
 		return
@@ -134,6 +154,7 @@
 			}
 		}
 	}
+	v.upstreamsArriveAt = c.now.Add(c.options.Timings.ReportInterval + time.Duration(len(a.Upstreams))*upstreamTransferTime)
 }
 
 // proposeEnrollment records an upstream in the agreed state, so that the next
