node: try replicas that stay behind rarely

Every entry sent reads to them again each 150 ms (3,219 in 14 s), one replica after the other, and reads that waited for a connection to such a replica were neither sent to the primary nor refused. A read that failed had waited 130 to 300 ms before the primary was asked.

Change: the delay doubles with each read in a row that finds the replica behind, up to 1.2 s, and from the third on one read at a time tries it.

--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -66,7 +66,7 @@
 func (e *Entry) resetInstance(i *entryInstance) {
 	i.isLeaving = false
 	i.positionKnown, i.freshnessKnown, i.role = false, false, catalog.RoleUnknown
-	i.received = catalog.Position{}
+	i.received, i.behindCount = catalog.Position{}, 0
 	i.bestLatency, i.limitCutAt = 0, 0
 	i.evidence = wire.EvidenceNone
 	i.concurrencyLimit = float64(i.slots())
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -144,7 +144,7 @@
 		case i.positionKnown && !i.position.Less(floor):
 			proven = append(proven, i)
 		case i == r.lastFailed || r.verifyCount >= maxVerifyTries:
-		case !i.positionKnown || e.now.Sub(i.positionQueriedAt) > behindRetryDelay || e.likelyCovers(s, i, floor):
+		case e.mayHaveCaughtUp(i) || i.behindCount < hopelessBehindCount && e.likelyCovers(s, i, floor):
 			likely = append(likely, i)
 		}
 	}
@@ -154,9 +154,43 @@
 	return proven, likely
 }
 
-// behindRetryDelay is how long a replica that was behind gets no reads that
-// need a newer position.
-const behindRetryDelay = 150 * time.Millisecond
+// A replica that falls far behind stays so for many seconds. Reads that try it
+// again and again reach the primary later, and while they wait for a connection
+// to such a replica they are not refused although the primary is busy. This
+// answers the load of replicas that apply the log tens of times as late as usual.
+const (
+	// behindRetryDelay is how long a replica that was behind once gets no reads
+	// that need a newer position. The delay doubles with each further read that
+	// finds the replica behind, up to maxBehindRetryDelay.
+	behindRetryDelay    = 150 * time.Millisecond
+	maxBehindRetryDelay = 1200 * time.Millisecond
+	// hopelessBehindCount is the number of reads in a row after which only one
+	// read at a time tries the replica.
+	hopelessBehindCount = 3
+)
+
+// mayHaveCaughtUp reports whether a read may try a replica whose last known
+// position was too old.
+func (e *Entry) mayHaveCaughtUp(i *entryInstance) bool {
+	if !i.positionKnown {
+		return true
+	}
+	if i.behindCount >= hopelessBehindCount && i.running+i.connShortfall > 0 {
+		return false
+	}
+	delay := min(behindRetryDelay<<min(max(i.behindCount-1, 0), hopelessBehindCount), maxBehindRetryDelay)
+	return e.now.Sub(i.positionQueriedAt) > delay
+}
+
+// recordReadAt counts the reads in a row that found a replica behind.
+func (i *entryInstance) recordReadAt(v RequestDone) {
+	switch v.Outcome {
+	case OutcomeBehind:
+		i.behindCount++
+	case OutcomeCompleted:
+		i.behindCount = 0
+	}
+}
 
 // isFailing reports whether the last attempt to use the upstream failed.
 func (e *Entry) isFailing(i *entryInstance) bool {
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -129,6 +129,9 @@
 		v.Outcome == OutcomeBehind && !e.options.UpstreamsFromControl
 	e.emitSpan("upstream-run", r, r.startedAt)
 	e.recordOutcome(r, i, v)
+	if r.isRead() {
+		i.recordReadAt(v)
+	}
 	c := e.conns[v.Conn]
 	e.finishConn(c, v)
 	switch {
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -178,7 +178,10 @@
 	// positionQueriedAt is when the query was sent that returned role and
 	// position.
 	positionQueriedAt catalog.Instant
-	positionKnown     bool
+	// behindCount counts the reads in a row that found a replica behind the
+	// position that they require.
+	behindCount   int
+	positionKnown bool
 	// freshAsOf is the instant of the newest sample in primaryPositions that
 	// position covers.
 	freshAsOf      catalog.Instant
