node, daemon: relay announcements, end promotions with the lead

Change: a follower that knows the leader acknowledges an announcement and sends it to the leader as a message, unless the upstream leaves. A VM that loses the lead ends its calls (CancelPromotions), and the next leader resumes a promotion only when the earlier leases have ended.

Tests, both fail before: TestFollowersRelayAnnouncements, TestResumedPromotionWaits.

--- a/daemon/hosted_control.go
+++ b/daemon/hosted_control.go
@@ -65,7 +65,9 @@
 		case node.Survey:
 			go upstreams.survey(v)
 		case node.Promote:
-			go upstreams.promote(ctx, v)
+			upstreams.startPromotion(ctx, v)
+		case node.CancelPromotions:
+			upstreams.cancelPromotions()
 		case node.Follow:
 			// The platform's upstreams follow a new primary by themselves.
 		case node.AnswerCommand:
@@ -105,6 +107,26 @@
 	hosted   *hosted
 	surveyor *session.Surveyor
 	client   *platform.Client
+	// leading ends when this VM loses the lead. cancel ends it and is nil before
+	// the first promotion since then. Only the goroutine of the loop uses them.
+	leading context.Context
+	cancel  context.CancelFunc
+}
+
+// startPromotion starts a promotion that ends early if this VM loses the lead.
+// Its calls must not follow those of the next leader.
+func (p *hostedUpstreamExecutor) startPromotion(ctx context.Context, v node.Promote) {
+	if p.cancel == nil {
+		p.leading, p.cancel = context.WithCancel(ctx)
+	}
+	go p.promote(p.leading, v)
+}
+
+func (p *hostedUpstreamExecutor) cancelPromotions() {
+	if p.cancel != nil {
+		p.cancel()
+		p.cancel = nil
+	}
 }
 
 // remaining returns the time until an instant of the process's clock.
@@ -126,9 +148,11 @@
 // because only an answered call rules out that an earlier one is carried out
 // later.
 func (p *hostedUpstreamExecutor) promote(ctx context.Context, v node.Promote) {
+	ctx, cancel := context.WithTimeout(ctx, p.remaining(v.Deadline))
+	defer cancel()
 	result := node.PromoteDone{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch}
 	accepted, attempts, cause := false, 0, ""
-	for !accepted && p.remaining(v.Deadline) > 0 {
+	for !accepted && ctx.Err() == nil {
 		attempts++
 		err := p.client.Promote(ctx, v)
 		if err != nil {
@@ -142,7 +166,7 @@
 			time.Sleep(promotePollInterval)
 		}
 	}
-	for accepted && p.remaining(v.Deadline) > 0 {
+	for accepted && ctx.Err() == nil {
 		t := session.Target{Service: v.Service, Instance: v.Instance, Address: v.Address}
 		status, evidence := p.surveyor.Survey(t, p.remaining(v.Deadline))
 		if evidence == wire.EvidenceAlive && status.Role == catalog.RolePrimary {
--- a/node/control.go
+++ b/node/control.go
@@ -269,6 +269,7 @@
 	c.resetLeaderState()
 	c.isLeader = leading
 	if !leading {
+		c.emit(CancelPromotions{})
 		c.log("control", "Leads no more.")
 		c.failCommands(waiting)
 		return
--- a/node/control_members_test.go
+++ b/node/control_members_test.go
@@ -20,6 +20,8 @@
 	senders  []catalog.VMID
 	// onSend is called for each message, if not nil.
 	onSend func(SendMessage)
+	// onReply is called for each answer to a command, if not nil.
+	onReply func(AnswerCommand)
 }
 
 func newControlCluster(voters int, first []catalog.VMID, joining []catalog.VMID) *controlCluster {
@@ -52,6 +54,10 @@
 		switch v := e.(type) {
 		case Persist:
 			w.step(vm, Persisted{Token: v.Token})
+		case AnswerCommand:
+			if w.onReply != nil {
+				w.onReply(v)
+			}
 		case SendMessage:
 			if w.onSend != nil {
 				w.onSend(v)
@@ -175,3 +181,33 @@
 		So(old.stopped, ShouldBeTrue)
 	})
 }
+
+// TestFollowersRelayAnnouncements guards against a leader that answers a call of
+// each upstream in each heartbeat: with thousands of upstreams, these calls use all
+// of its processor time.
+func TestFollowersRelayAnnouncements(t *testing.T) {
+	Convey("a follower acknowledges announcements and relays them, but not those of leaving upstreams", t, func() {
+		w := newControlCluster(3, []catalog.VMID{"c1", "c2", "c3"}, nil)
+		replies := map[uint64]Reply{}
+		w.onReply = func(a AnswerCommand) { replies[a.Number] = a.Reply }
+		announce := func(vm catalog.VMID, number uint64, a catalog.Announcement) {
+			w.step(vm, CommandReceived{Number: number, Command: Command{Announce: &Announce{Announcement: a}}})
+		}
+		announce("c1", 1, testAnnouncement("i1", catalog.RoleReplica, 1))
+		So(replies[1].Code, ShouldEqual, ReplyNotLeader)
+		w.advance(2 * time.Second)
+		follower := catalog.VMID("c1")
+		if w.leader().options.VM == follower {
+			follower = "c2"
+		}
+		announce(follower, 2, testAnnouncement("i1", catalog.RolePrimary, 2))
+		So(replies[2].Code, ShouldEqual, ReplyOK)
+		w.advance(20 * time.Millisecond)
+		So(w.leader().upstreams["i1"].announcement.Role, ShouldEqual, catalog.RolePrimary)
+		leaving := testAnnouncement("i1", catalog.RolePrimary, 3)
+		leaving.Leaving = true
+		announce(follower, 3, leaving)
+		So(replies[3].Code, ShouldEqual, ReplyNotLeader)
+		So(replies[3].Leader, ShouldEqual, w.leader().options.VM)
+	})
+}
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -8,6 +8,10 @@
 // handleCommand executes an operator's command. A VM that is not the leader, or
 // has no contact to a quorum, answers with the leader's name if it is known.
 func (c *Control) handleCommand(o CommandReceived) {
+	if !c.isLeader && o.Command.Announce != nil && c.relayAnnouncement(o.Command.Announce.Announcement) {
+		c.reply(o.Number, Reply{Code: ReplyOK, Version: c.state.Version})
+		return
+	}
 	if !c.isLeader || !c.hasQuorumContact() {
 		c.reply(o.Number, Reply{
 			Code: ReplyNotLeader, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.ElectionTimeout,
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -7,6 +7,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/registry"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -230,3 +232,36 @@
 		So(create(5, "one", 1, "z").Code, ShouldEqual, ReplyInvalid)
 	})
 }
+
+// TestResumedPromotionWaits guards against two leaders that call for the same
+// service in turn: the earlier leader may still be calling when the next one
+// resumes its promotion.
+func TestResumedPromotionWaits(t *testing.T) {
+	Convey("a new leader resumes a promotion only after the leases of the earlier leader have expired", t, func() {
+		self := quorum.Member{VM: "c1", Incarnation: 1, Voter: true}
+		state := registry.New()
+		state.Version, state.Services = 1, []catalog.Service{{ID: "orders", Instances: 1}}
+		state.Primaries = []catalog.Primary{{Service: "orders", Epoch: 4, Instance: "a"}}
+		state.Upstreams = []catalog.Announcement{testAnnouncement("a", catalog.RoleReplica, 1)}
+		data, err := state.Snapshot()
+		So(err, ShouldBeNil)
+		w := startSoloControl(quorum.PersistentState{Self: self, Snapshot: quorum.Snapshot{Index: 1, Ballot: 1, Members: []quorum.Member{self}, Data: data}})
+		for !w.control.isLeader {
+			w.advance(10 * time.Millisecond)
+		}
+		promotions := func() (out []Promote) {
+			for _, e := range w.upstreamEffects {
+				if p, ok := e.(Promote); ok {
+					out = append(out, p)
+				}
+			}
+			return out
+		}
+		t := catalog.DefaultTimings()
+		w.advance(t.LeaseLength)
+		So(promotions(), ShouldBeEmpty)
+		w.advance(t.MaxDrift + 100*time.Millisecond)
+		So(promotions(), ShouldHaveLength, 1)
+		So(promotions()[0].Epoch, ShouldEqual, 5)
+	})
+}
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -47,6 +47,20 @@
 	c.reply(number, Reply{Code: ReplyOK, Version: c.state.Version})
 }
 
+// relayAnnouncement sends the announcement of an upstream to the leader and
+// reports whether it may be acknowledged. A message between control VMs costs the
+// leader a small part of what a call of the upstream does. If it is lost, the next
+// announcement follows within a heartbeat. An upstream that leaves gets no
+// acknowledgement until the leader has recorded that.
+func (c *Control) relayAnnouncement(a catalog.Announcement) bool {
+	leader := c.quorum.Leader()
+	if !c.options.DistributesUpstreams || a.Leaving || leader == "" || leader == c.options.VM {
+		return false
+	}
+	c.emit(SendMessage{To: leader, Message: wire.Message{Announcement: &a}})
+	return true
+}
+
 func (c *Control) retireUpstream(number uint64, r RetireUpstream) {
 	u := c.upstreams[r.Instance]
 	if r.Incarnation == 0 && u != nil {
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -28,6 +28,11 @@
 	case p.Epoch == 0:
 		c.bootstrapPrimary(s)
 	case !p.Ready:
+		if c.now.Before(c.graceEndsAt) {
+			// The earlier leader may still be calling for the same service.
+			c.markSuspect(s.ID)
+			return
+		}
 		c.resumePromotion(s, p)
 	case c.isPrimaryDown(p):
 		c.startFailover(s, p, failoverUnplanned, "")
--- a/node/effect.go
+++ b/node/effect.go
@@ -140,6 +140,10 @@
 	Deadline catalog.Instant
 }
 
+// CancelPromotions ends the promotions in progress, since this VM no longer
+// leads. PromoteDone may follow for each of them.
+type CancelPromotions struct{}
+
 // Follow makes an upstream replicate from another one. No event follows.
 type Follow struct {
 	Service         catalog.ServiceID
@@ -210,20 +214,21 @@
 	End     catalog.Instant
 }
 
-func (SetTimer) effect()       {}
-func (SendMessage) effect()    {}
-func (OpenConn) effect()       {}
-func (CloseConn) effect()      {}
-func (Probe) effect()          {}
-func (RunRequest) effect()     {}
-func (ForwardRequest) effect() {}
-func (AnswerRequest) effect()  {}
-func (Persist) effect()        {}
-func (Survey) effect()         {}
-func (Promote) effect()        {}
-func (Follow) effect()         {}
-func (AnswerCommand) effect()  {}
-func (Stopped) effect()        {}
+func (SetTimer) effect()         {}
+func (SendMessage) effect()      {}
+func (OpenConn) effect()         {}
+func (CloseConn) effect()        {}
+func (Probe) effect()            {}
+func (RunRequest) effect()       {}
+func (ForwardRequest) effect()   {}
+func (AnswerRequest) effect()    {}
+func (Persist) effect()          {}
+func (Survey) effect()           {}
+func (Promote) effect()          {}
+func (CancelPromotions) effect() {}
+func (Follow) effect()           {}
+func (AnswerCommand) effect()    {}
+func (Stopped) effect()          {}
 
 func (RoutesChanged) effect()    {}
 func (ReadinessChanged) effect() {}
