node: don't send the roles of upstreams to entries

Cause: a change of role counted as a change that entries must hear, so every new leader, which learns all roles within a heartbeat of the upstreams, sent all upstreams to all entries again. Entries use neither: they learn the primary with their leases and roles from the upstreams.

Test: TestRolesAreNotDistributed, fails before.

--- a/node/control_load_test.go
+++ b/node/control_load_test.go
@@ -73,6 +73,20 @@
 	})
 }
 
+// TestRolesAreNotDistributed guards against a new leader that sends every entry
+// the role of every upstream, which entries don't use.
+func TestRolesAreNotDistributed(t *testing.T) {
+	Convey("a change of role alone is not sent to the entries", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		So(w.runCommand(adoptCommand(1, time.Second)).Code, ShouldEqual, ReplyOK)
+		w.step(AnnouncementReceived{Announcement: testAnnouncement("i1", catalog.RoleReplica, 1)})
+		before := w.control.revision
+		w.step(AnnouncementReceived{Announcement: testAnnouncement("i1", catalog.RolePrimary, 2)})
+		So(w.control.upstreams["i1"].announcement.Role, ShouldEqual, catalog.RolePrimary)
+		So(w.control.revision, ShouldEqual, before)
+	})
+}
+
 // TestUpstreamsOnASlowLink guards against a link that is full of repeated lists
 // of upstreams: the entry's reports, sent before the first list has arrived, make
 // control send the list again and again.
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -120,8 +120,10 @@
 }
 
 // needsPush reports whether a newer announcement must be sent to the entries.
+// Entries don't use the role in it: they learn the primary with their leases, and
+// roles from the upstreams themselves.
 func needsPush(old, a catalog.Announcement) bool {
-	a.Sequence, a.Position = old.Sequence, old.Position
+	a.Sequence, a.Position, a.Role = old.Sequence, old.Position, old.Role
 	return a != old
 }
 
