--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -81,9 +81,10 @@
 	l.inputs <- in
 }
 
-// Run processes inputs and timers until the context ends. It handles SetTimer
-// itself and passes all other effects of the reducer to execute. The execute
-// function must not block, and must not call Feed from the same goroutine.
+// Run processes inputs and timers until the context ends, urgent inputs before
+// all others. It handles SetTimer itself and passes all other effects of the
+// reducer to execute. The execute function must not block, and must not call Feed
+// from the same goroutine.
 func (l *Loop) Run(ctx context.Context, execute func(node.Effect)) {
 	l.execute = execute
 	for {
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -89,16 +89,15 @@
 	c.markSuspect(u.announcement.Service)
 }
 
-// pushTime is the least time between two pushes of upstreams for each entry that
-// got the first one. It keeps most of the processor free for reports, whose
-// answers hold the same changes.
+// pushTime is how long the next push of upstreams is delayed for each entry that
+// got the present one. The delay keeps most of the processor free for reports,
+// whose answers hold the same changes.
 const pushTime = time.Millisecond
 
 // pushChangedUpstreams sends changed upstreams to the entries that were not sent
-// them in answers to reports. A new leader learns the roles of all upstreams
-// within a heartbeat of theirs. Without the pause, each of these changes would be
-// sent to each entry, and with hundreds of entries a leader that is busy with
-// that loses its lead.
+// them in answers to reports. Upstreams that start together announce themselves
+// within one heartbeat. If each of these changes were sent to each of hundreds of
+// entries at once, the leader would be too busy to keep its lead.
 func (c *Control) pushChangedUpstreams() {
 	if !c.options.DistributesUpstreams || c.pushedRevision == c.revision || c.now.Before(c.nextPushAt) {
 		return
