node: report to a leader named after a long search

Cause: an entry that has searched for longer than two unanswered reports did not report to a leader that a control VM named, but with its next periodic report, up to 0.2 s later. After a loss of all power every entry has searched for so long.

Change: the report is due after a third of the interval, as often as the search itself asks. Two VMs that name each other cause no more reports than the search.

--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -141,7 +141,7 @@
 	p.lastSentAt, p.wasSent = e.now, true
 	p.nextAt = e.now.Add(e.options.Timings.ReportInterval)
 	if e.options.UpstreamsFromControl && p.leader == "" && e.now.Sub(p.controlAnsweredAt) > e.options.Timings.ReportInterval {
-		p.nextAt = e.now.Add(e.options.Timings.ReportInterval / leaderSearchFactor)
+		p.nextAt = e.now.Add(e.leaderSearchInterval())
 	}
 	p.sentAt[p.sequence] = e.now
 	delete(p.sentAt, p.sequence-maxOutstandingReports)
@@ -162,6 +162,12 @@
 	}
 }
 
+// leaderSearchInterval returns the time between two reports of an entry that
+// knows no leader.
+func (e *Entry) leaderSearchInterval() time.Duration {
+	return e.options.Timings.ReportInterval / leaderSearchFactor
+}
+
 func (e *Entry) unansweredLimit() int {
 	if e.options.UpstreamsFromControl {
 		return maxUnansweredFromControl
@@ -325,7 +331,13 @@
 	p.setLeader("")
 	if a.Leader != "" {
 		p.setLeader(a.Leader)
-		p.urgent = p.unanswered <= e.unansweredLimit()
+		if p.unanswered <= e.unansweredLimit() {
+			p.urgent = true
+			return
+		}
+		// During a search, control VMs may name each other for a while, so the
+		// next report is only as early as the search allows.
+		p.nextAt = min(p.nextAt, p.lastSentAt.Add(e.leaderSearchInterval()))
 	}
 }
 
--- a/node/entry_report_test.go
+++ b/node/entry_report_test.go
@@ -75,6 +75,31 @@
 	})
 }
 
+// TestReportAfterALongSearch guards against an entry that learns who leads after
+// it has searched for some time, as after a loss of all power, and yet waits for
+// its next periodic report. Its callers wait with it.
+func TestReportAfterALongSearch(t *testing.T) {
+	o := testOptions()
+	o.Control, o.UpstreamsFromControl = []catalog.VMID{"c1", "c2", "c3"}, true
+	Convey("an entry reports to a leader that is named after a long search no later than the search would", t, func() {
+		e := NewEntry(o)
+		now := catalog.Instant(time.Millisecond)
+		var last *wire.Report
+		var sentAt catalog.Instant
+		for range 40 {
+			if to, report := reportsOf(e.Step(Event{Now: now, Input: TimerFired{}})); len(to) > 0 {
+				last, sentAt = report, now
+				e.Step(Event{Now: now, Input: answerFrom("c1", wire.Answer{Refused: true, Sequence: last.Sequence})})
+			}
+			now = now.Add(25 * time.Millisecond)
+		}
+		now = sentAt.Add(time.Millisecond)
+		e.Step(Event{Now: now, Input: answerFrom("c1", wire.Answer{Refused: true, Leader: "c2", Sequence: last.Sequence})})
+		to, _ := reportsOf(e.Step(Event{Now: sentAt.Add(e.leaderSearchInterval()), Input: TimerFired{}}))
+		So(to, ShouldContain, catalog.VMID("c2"))
+	})
+}
+
 // TestFormerLeaderNamesTheNext guards against an entry that searches for the next
 // leader although the former one has named it.
 func TestFormerLeaderNamesTheNext(t *testing.T) {
