node: send lists of entries once all have reported

Cause: after the loss of all power a new leader collected reports for 150 ms, and updated its lists every 100 ms, before an entry got the list of its site, for which its callers' requests wait.

Change: a control VM that has known no leader for a while has heard of every entry that searches for one. If it is elected, its lists are complete as soon as these entries have reported, and are sent then. The wait stays for the others: a VM that followed a leader just before, and entries that don't come back.

--- a/node/control.go
+++ b/node/control.go
@@ -90,9 +90,8 @@
 	nextJoinAt              catalog.Instant
 	nextSweepAt             catalog.Instant
 	initialServicesProposed bool
-	// sites holds the active entries of each site, updated at nextSitesAt.
-	sites       map[catalog.SiteID]siteView
-	nextSitesAt catalog.Instant
+	// sites holds the active entries of each site.
+	sites siteLists
 	// revision counts the changes of upstreams. It never decreases while the
 	// process runs, not even when leadership changes.
 	revision uint64
@@ -121,7 +120,7 @@
 	}
 	c := &Control{
 		options: o, state: state, appliedIndex: o.Saved.Snapshot.Index, now: now,
-		uninformedEntries: map[catalog.VMID]uint64{},
+		uninformedEntries: map[catalog.VMID]uint64{}, sites: siteLists{leaderlessSince: now},
 	}
 	c.quorum = quorum.New(quorum.Settings{
 		HeartbeatInterval: o.Timings.HeartbeatInterval,
@@ -150,8 +149,8 @@
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
-	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextSitesAt, c.nextPushAt = 0, 0, 0, 0
-	c.sites = map[catalog.SiteID]siteView{}
+	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt = 0, 0, 0
+	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
 	c.replacement = nil
@@ -222,6 +221,9 @@
 		c.applyQuorumOutput(c.quorum.Tick(c.now))
 	}
 	c.updateLeadership()
+	if leader := c.quorum.Leader(); c.isLeader || leader != "" && leader != c.options.VM {
+		c.sites.leaderlessSince = c.now
+	}
 	if c.isLeader && c.nextSweepAt <= c.now {
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.sweep()
@@ -274,6 +276,7 @@
 		return
 	}
 	t := c.options.Timings
+	c.sites.awaitEntries(c.uninformedEntries, t.ReportInterval/leaderSearchFactor, c.now)
 	c.graceEndsAt = c.quorum.LeaderSince().Add(t.LeaseLength + t.MaxDrift)
 	c.nextSweepAt = c.now
 	c.restoreUpstreams()
--- a/node/control_distribution_test.go
+++ b/node/control_distribution_test.go
@@ -35,7 +35,7 @@
 		self := quorum.Member{VM: "c1", Incarnation: 1, Voter: true}
 		saved = quorum.PersistentState{Self: self, Snapshot: quorum.Snapshot{Members: []quorum.Member{self}}}
 	}
-	w := &soloControl{now: catalog.Instant(time.Second), replies: map[uint64]Reply{}}
+	w := &soloControl{now: catalog.Instant(time.Minute), replies: map[uint64]Reply{}}
 	timings := catalog.DefaultTimings()
 	timings.GrantLength = 10 * time.Second
 	c, err := NewControl(ControlOptions{
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -161,6 +161,7 @@
 		return
 	}
 	v := c.entryFor(from, site)
+	c.sites.recordReport(from)
 	if r.Incarnation == v.incarnation && r.Sequence <= v.sequence || r.Incarnation < v.incarnation && c.hasRecentReport(v) {
 		return
 	}
--- a/node/entry_owner_test.go
+++ b/node/entry_owner_test.go
@@ -236,3 +236,49 @@
 		So(w.lastAnswer("e1").Entries, ShouldResemble, []catalog.VMID{"e1"})
 	})
 }
+
+// TestSiteEntriesAfterARestart guards against callers that wait longer than needed
+// after a loss of all power: an entry takes no request before it knows the other
+// entries of its site.
+func TestSiteEntriesAfterARestart(t *testing.T) {
+	report := func(w *soloControl, vm catalog.VMID, sequence uint64) {
+		w.step(MessageReceived{From: vm, Message: wire.Message{Report: &wire.Report{VM: vm, Site: "s1", Sequence: sequence}}})
+	}
+	// elect starts a control VM that the entries ask for a leader until it leads.
+	elect := func(entries ...catalog.VMID) *soloControl {
+		w := startSoloControl(quorum.PersistentState{})
+		for n := uint64(1); !w.control.isLeader; n++ {
+			for _, vm := range entries {
+				report(w, vm, n)
+			}
+			w.advance(10 * time.Millisecond)
+		}
+		return w
+	}
+	Convey("a new leader that heard all entries search sends the list as soon as they have reported", t, func() {
+		w := elect("e1", "e2")
+		report(w, "e1", 1000)
+		w.advance(2 * sweepInterval)
+		So(w.lastAnswer("e1").Entries, ShouldBeEmpty)
+		report(w, "e2", 1000)
+		w.advance(2 * sweepInterval)
+		So(w.lastAnswer("e1").Entries, ShouldResemble, []catalog.VMID{"e1", "e2"})
+		So(w.lastAnswer("e2").Entries, ShouldResemble, []catalog.VMID{"e1", "e2"})
+	})
+	Convey("an entry that does not come back delays the list by gatherTime at most", t, func() {
+		w := elect("e1", "e2")
+		report(w, "e1", 1000)
+		w.advance(gatherTime - 2*sweepInterval)
+		So(w.lastAnswer("e1").Entries, ShouldBeEmpty)
+		w.advance(sitesInterval + 2*sweepInterval)
+		So(w.lastAnswer("e1").Entries, ShouldResemble, []catalog.VMID{"e1"})
+	})
+	Convey("a new leader that knew its predecessor just before waits for gatherTime", t, func() {
+		w := elect("e1")
+		l := siteLists{leaderlessSince: w.now.Add(-time.Millisecond)}
+		l.awaitEntries(map[catalog.VMID]uint64{"e1": 1}, 67*time.Millisecond, w.now)
+		l.recordReport("e1")
+		So(l.isComplete(0), ShouldBeFalse)
+		So(l.isComplete(gatherTime), ShouldBeTrue)
+	})
+}
