node: let an entry fill an upstream's slots on its own

Cause: the concurrency limit of an entry was cut whenever an answer took more than four times the shortest latency seen. The work of statements varies by more than that, so in calm seconds too the limit stood near one statement.

Change: with upstreams from control an entry runs as many statements as the upstream has slots. The adaptive limit stays for the own interface, where it wasn't measured.

The play of the tests now has an upstream with slots; before, it relied on the entry's limit.

Callers of an entry that serves alone gain.

--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -69,7 +69,7 @@
 	i.received, i.behindCount = catalog.Position{}, 0
 	i.bestLatency, i.limitCutAt = 0, 0
 	i.evidence = wire.EvidenceNone
-	i.concurrencyLimit = float64(i.slots())
+	i.adaptiveLimit = float64(i.slots())
 	i.nextProbe, i.openAfter, i.backoff = e.now, e.now, 0
 }
 
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -163,16 +163,27 @@
 
 // hasSlot reports whether the upstream may run one more request of a class.
 // Browsing leaves one slot free for bookings.
-func (i *entryInstance) hasSlot(class Class) bool {
-	n := max(1, int(i.concurrencyLimit))
+func (e *Entry) hasSlot(i *entryInstance, class Class) bool {
+	n := e.concurrencyLimit(i)
 	if class == ClassBrowse && n > 1 {
 		n--
 	}
 	return i.running+i.connShortfall < n
 }
 
-// adaptConcurrency raises the concurrency limit slowly while latency is low,
-// and lowers it when latency is much higher than the best seen.
+// concurrencyLimit returns how many statements this entry may run at the
+// upstream. With UpstreamsFromControl that is the number of slots: an entry whose
+// neighbours are cut off or down has all callers, and must fill the slots alone.
+// Where several entries are busy, reads yield by the latency that all entries see.
+func (e *Entry) concurrencyLimit(i *entryInstance) int {
+	if e.options.UpstreamsFromControl {
+		return i.slots()
+	}
+	return max(1, int(i.adaptiveLimit))
+}
+
+// adaptConcurrency raises the adaptive limit slowly while latency is low, and
+// lowers it when latency is much higher than the best seen.
 func (e *Entry) adaptConcurrency(i *entryInstance, latency time.Duration) {
 	most := float64(i.slots())
 	if i.bestLatency == 0 || latency < i.bestLatency {
@@ -181,11 +192,11 @@
 	i.bestLatency += i.bestLatency / 256
 	if latency > slowLatencyFactor*i.bestLatency && latency > i.bestLatency+slowLatencyMargin {
 		if e.now.Sub(i.limitCutAt) > latency {
-			i.concurrencyLimit, i.limitCutAt = max(1, i.concurrencyLimit*limitDecreaseFactor), e.now
+			i.adaptiveLimit, i.limitCutAt = max(1, i.adaptiveLimit*limitDecreaseFactor), e.now
 		}
 		return
 	}
-	i.concurrencyLimit = min(most, i.concurrencyLimit+1/max(1, i.concurrencyLimit))
+	i.adaptiveLimit = min(most, i.adaptiveLimit+1/max(1, i.adaptiveLimit))
 }
 
 // retry puts a request back at the head of its queue and returns true. If the
--- a/node/entry_queue_test.go
+++ b/node/entry_queue_test.go
@@ -11,14 +11,26 @@
 	"github.com/kingcupknot/kingcupknot/catalog"
 )
 
-// offeredLoad describes the requests sent to an upstream with two slots and 10
-// ms of work per request.
+// offeredLoad describes the requests sent to an upstream with two slots.
 type offeredLoad struct {
 	// backlog requests have already waited for 300 ms at the start. After that,
 	// one request arrives per interval, arrivals in total.
 	backlog, arrivals int
 	interval          time.Duration
 	objective         time.Duration
+	// work returns the time that a request occupies a slot.
+	work func(catalog.RequestID) time.Duration
+}
+
+func constantWork(catalog.RequestID) time.Duration { return loadWork }
+
+// mixedWork returns many short times and some that are five times as long, 20 ms
+// on the mean.
+func mixedWork(id catalog.RequestID) time.Duration {
+	if id%4 == 0 {
+		return 5 * loadWork
+	}
+	return loadWork
 }
 
 // loadResult counts how requests ended.
@@ -47,6 +59,9 @@
 	arrived map[catalog.RequestID]catalog.Instant
 	ends    map[catalog.RequestID]catalog.Instant
 	runs    map[catalog.RequestID]RunRequest
+	// slotFreeAt is when each slot of the upstream will have run what was sent
+	// to it.
+	slotFreeAt [2]catalog.Instant
 }
 
 func (p *loadRunner) submit(waited time.Duration) {
@@ -63,7 +78,12 @@
 	for _, x := range p.effects {
 		switch v := x.(type) {
 		case RunRequest:
-			p.runs[v.Request], p.ends[v.Request] = v, p.now.Add(loadWork)
+			slot := 0
+			if p.slotFreeAt[1].Before(p.slotFreeAt[0]) {
+				slot = 1
+			}
+			p.slotFreeAt[slot] = max(p.slotFreeAt[slot], p.now).Add(p.load.work(v.Request))
+			p.runs[v.Request], p.ends[v.Request] = v, p.slotFreeAt[slot]
 		case AnswerRequest:
 			p.countAnswer(v)
 		}
@@ -143,7 +163,7 @@
 // after an outage has ended: if the backlog is served in the order of arrival,
 // requests that arrive later are late too.
 func TestBacklogAfterAnOutage(t *testing.T) {
-	outage := offeredLoad{backlog: 120, arrivals: 100, interval: 10 * time.Millisecond, objective: 200 * time.Millisecond}
+	outage := offeredLoad{backlog: 120, arrivals: 100, interval: 10 * time.Millisecond, objective: 200 * time.Millisecond, work: constantWork}
 	Convey("requests that arrive after an outage are served in time, and its backlog is served late rather than refused", t, func() {
 		// The capacity is twice the arrival rate, so all later requests can be
 		// in time.
@@ -163,7 +183,7 @@
 // arrive than the upstream can run.
 func TestSustainedOverload(t *testing.T) {
 	// The upstream runs 200 requests per second, and 260 arrive.
-	overload := offeredLoad{arrivals: 1300, interval: time.Second / 260, objective: 200 * time.Millisecond}
+	overload := offeredLoad{arrivals: 1300, interval: time.Second / 260, objective: 200 * time.Millisecond, work: constantWork}
 	Convey("as many as possible are served in time, and the others are refused soon", t, func() {
 		p := runLoad(overload)
 		So(p.inTime[1]+p.late[1]+p.refused[1], ShouldEqual, overload.arrivals)
@@ -176,3 +196,16 @@
 		So(p.inTime[1], ShouldBeLessThan, overload.arrivals/2)
 	})
 }
+
+// TestSingleEntryFillsSlots guards against an entry that can't fill the slots of
+// an upstream alone, as it must when the other entries are cut off and all callers
+// come to it. A limit that follows the latency takes the variance of the work for
+// congestion and falls to one statement at a time.
+func TestSingleEntryFillsSlots(t *testing.T) {
+	// The upstream runs 100 requests per second, and 85 arrive.
+	busy := offeredLoad{arrivals: 850, interval: time.Second / 85, objective: 400 * time.Millisecond, work: mixedWork}
+	Convey("an entry alone serves 85% of an upstream's capacity in time", t, func() {
+		p := runLoad(busy)
+		So(p.inTime[1], ShouldBeGreaterThan, busy.arrivals*97/100)
+	})
+}
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -32,7 +32,7 @@
 			}
 		}
 	}
-	if len(proven) > 0 && p.waitingForReplica < totalSlots(proven) && !e.willMissDeadline(r, p.waitingForReplica) {
+	if len(proven) > 0 && p.waitingForReplica < e.totalLimit(proven) && !e.willMissDeadline(r, p.waitingForReplica) {
 		p.waitingForReplica++
 		return false
 	}
@@ -59,10 +59,11 @@
 	return false
 }
 
-func totalSlots(is []*entryInstance) int {
+// totalLimit returns how many statements this entry may run at the upstreams.
+func (e *Entry) totalLimit(is []*entryInstance) int {
 	n := 0
 	for _, i := range is {
-		n += max(1, int(i.concurrencyLimit))
+		n += e.concurrencyLimit(i)
 	}
 	return n
 }
@@ -153,7 +154,7 @@
 }
 
 func (e *Entry) startRead(r *entryRequest, i *entryInstance, verify bool) bool {
-	if !i.hasSlot(r.Class) {
+	if !e.hasSlot(i, r.Class) {
 		return false
 	}
 	c := e.pickConn(i)
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -170,7 +170,9 @@
 		if r.isRead() && r.Database != "" {
 			r.service.baselines.record(r.Database, latency)
 		}
-		e.adaptConcurrency(i, latency)
+		if !e.options.UpstreamsFromControl {
+			e.adaptConcurrency(i, latency)
+		}
 	}
 	if v.Position.IsZero() {
 		return
--- a/node/entry_settings.go
+++ b/node/entry_settings.go
@@ -45,6 +45,6 @@
 		return
 	}
 	for _, i := range s.instances {
-		i.concurrencyLimit = float64(i.slots())
+		i.adaptiveLimit = float64(i.slots())
 	}
 }
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -216,13 +216,15 @@
 	nextProbe catalog.Instant
 	// probeConn is the connection of the probe in flight, zero if there is
 	// none.
-	probeConn        catalog.ConnID
-	probedAt         catalog.Instant
-	probeStep        uint64
-	running          int
-	concurrencyLimit float64
-	bestLatency      time.Duration
-	// limitCutAt is when concurrencyLimit was last reduced.
+	probeConn catalog.ConnID
+	probedAt  catalog.Instant
+	probeStep uint64
+	running   int
+	// adaptiveLimit is how many statements this entry may run at the upstream,
+	// without UpstreamsFromControl. bestLatency is the lowest recent latency.
+	adaptiveLimit float64
+	bestLatency   time.Duration
+	// limitCutAt is when adaptiveLimit was last reduced.
 	limitCutAt catalog.Instant
 	// pausedUntil is the time before which no new work starts at the upstream,
 	// because the upstream answered that it is not ready.
