node: count the wait at the entry when reads yield

Cause: reads that only a scarce primary can serve yield by the latency that the entry measures there, but the entry itself limits how much it runs, so the queue is in the entry and the latency stays low.

Change: the wait at the entry counts too, and reads begin to yield at a quarter of their objective, by their cost as before.

Callers gain whose requests matter as much and cost less; those of long reads lose, and learn it within a quarter of their objective.

--- a/node/entry_behind_test.go
+++ b/node/entry_behind_test.go
@@ -25,6 +25,10 @@
 	served   []time.Duration
 	refused  []time.Duration
 	replicas catalog.Position
+	// work returns how long a read runs at the primary. answered is called with
+	// every answer.
+	work     func(catalog.RequestID) time.Duration
+	answered func(id catalog.RequestID, verdict Verdict, took time.Duration)
 }
 
 const (
@@ -37,6 +41,8 @@
 	p := &behindPlay{
 		listedEntry: newListedEntry(), runsUntil: map[catalog.RequestID]catalog.Instant{}, runs: map[catalog.RequestID]RunRequest{},
 		arrivedAt: map[catalog.RequestID]catalog.Instant{}, offset: 1000, replicas: catalog.Position{Term: 1, Offset: 10},
+		work:     func(catalog.RequestID) time.Duration { return behindWork },
+		answered: func(catalog.RequestID, Verdict, time.Duration) {},
 	}
 	return p
 }
@@ -68,12 +74,13 @@
 	for _, x := range p.effects {
 		switch v := x.(type) {
 		case RunRequest:
-			p.runs[v.Request], p.runsUntil[v.Request] = v, p.now.Add(behindWork)
+			p.runs[v.Request], p.runsUntil[v.Request] = v, p.now.Add(p.work(v.Request))
 			if p.conns[v.Conn] != "a" {
 				p.runsUntil[v.Request] = p.now.Add(behindReply)
 			}
 		case AnswerRequest:
 			took := p.now.Sub(p.arrivedAt[v.Request])
+			p.answered(v.Request, v.Verdict, took)
 			if v.Verdict == VerdictDone {
 				p.served = append(p.served, took)
 			} else {
@@ -84,6 +91,16 @@
 	p.effects = nil
 }
 
+// submit sends a read of a session that has just written.
+func (p *behindPlay) submit(id catalog.RequestID, database string, objective time.Duration) {
+	p.offset++
+	p.arrivedAt[id] = p.now
+	p.step(RequestArrived{
+		Request: id, Service: "orders", Database: database, Kind: KindRead, Objective: objective,
+		Deadline: p.now.Add(time.Second), Floor: catalog.Position{Term: 1, Offset: p.offset},
+	})
+}
+
 // play offers reads of a session that has just written, at the given share of
 // the capacity of two connections to the primary.
 func (p *behindPlay) play(load float64, seconds int) (offered int) {
@@ -97,12 +114,7 @@
 		for due += rate * tick.Seconds(); due >= 1; due-- {
 			next++
 			offered++
-			p.offset++
-			p.arrivedAt[next] = p.now
-			p.step(RequestArrived{
-				Request: next, Service: "orders", Database: "shop", Kind: KindRead, Objective: behindObjective,
-				Deadline: p.now.Add(time.Second), Floor: catalog.Position{Term: 1, Offset: p.offset},
-			})
+			p.submit(next, "shop", behindObjective)
 		}
 		p.collect()
 	}
--- a/node/entry_load.go
+++ b/node/entry_load.go
@@ -26,8 +26,14 @@
 // expectedLatency returns the latency that a request is expected to have at the
 // upstream.
 func (i *entryInstance) expectedLatency(now catalog.Instant) time.Duration {
-	halves := float64(now.Sub(i.latencyAt)) / float64(latencyHalfLife)
-	return time.Duration(float64(i.latency) / (1 + halves))
+	return decayedLatency(i.latency, i.latencyAt, now)
+}
+
+// decayedLatency returns an average that was last updated at the given instant,
+// reduced by its age.
+func decayedLatency(average time.Duration, updatedAt, now catalog.Instant) time.Duration {
+	halves := float64(now.Sub(updatedAt)) / float64(latencyHalfLife)
+	return time.Duration(float64(average) / (1 + halves))
 }
 
 const (
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -93,6 +93,9 @@
 	if i.running == 0 {
 		i.busySince = e.now
 	}
+	if r.Kind != KindInTransaction {
+		i.recordWait(e.now.Sub(r.queuedAt), e.now)
+	}
 	i.running++
 	s.running = append(s.running, r)
 	c.state, c.request = connBusy, r
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -159,6 +159,10 @@
 	// as of latencyAt.
 	latency   time.Duration
 	latencyAt catalog.Instant
+	// wait is the moving average of the time for which requests waited at this
+	// entry before they were sent to the upstream, as of waitAt.
+	wait   time.Duration
+	waitAt catalog.Instant
 	// busySince is when this entry last started a request at the upstream while
 	// no other request of this entry ran there.
 	busySince catalog.Instant
--- a/node/entry_yield.go
+++ b/node/entry_yield.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
 )
 
 // A read that no replica can serve may run at the primary, which has work that
@@ -13,13 +15,34 @@
 // sends there; the entry refuses the others at once. Writes and reads that must
 // run at the primary are exempt.
 
+// yieldObjectiveDivisor divides the objective of a read; the result is the time
+// that the read may be expected to take at the primary before some reads yield.
+// Reads then still wait so little that those which can't be served are refused
+// long before they miss their objective.
+const yieldObjectiveDivisor = 4
+
+// recordWait adds the time for which a request waited at this entry before it was
+// sent to the upstream to the moving average.
+func (i *entryInstance) recordWait(wait time.Duration, now catalog.Instant) {
+	old := i.expectedWait(now)
+	i.wait, i.waitAt = old+(wait-old)/4, now
+}
+
+// expectedWait returns how long a request is expected to wait at this entry for
+// the upstream. The entry limits how many statements it runs there, so under
+// overload the requests wait here and not at the upstream.
+func (i *entryInstance) expectedWait(now catalog.Instant) time.Duration {
+	return decayedLatency(i.wait, i.waitAt, now)
+}
+
 // shouldYield reports whether a read should not run at the primary, which is
 // left to the work that only it can do.
 func (e *Entry) shouldYield(r *entryRequest, i *entryInstance) bool {
 	if r.primaryOnly || r.Objective <= 0 {
 		return false
 	}
-	expected, budget := i.expectedLatency(e.now), r.service.baselines.latencyBudget(r.Database, r.Objective/2)
+	expected := i.expectedWait(e.now) + i.expectedLatency(e.now)
+	budget := r.service.baselines.latencyBudget(r.Database, r.Objective/yieldObjectiveDivisor)
 	if expected <= budget {
 		return false
 	}
