node: run a read again when its answer is overdue

Cause: an upstream that runs a read and loses its answer (answer_lost, 2 to 20 % of the answers of some upstreams) leaves the read waiting until its caller's deadline, on a connection and at one of the places that the entry has there.

Change: a read of a single statement whose answer takes longer than half of its objective and three times what the upstream takes at the moment runs again, elsewhere if it can. The connection is closed, and the retry budget bounds the second runs. Nothing that may write runs again.

--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -85,8 +85,8 @@
 }
 
 // closeStuckConns closes connections whose requests can no longer succeed:
-// those at a replaced primary, and reads at an upstream that has stopped
-// answering.
+// those at a replaced primary, reads at an upstream that has stopped answering,
+// and reads whose answers are overdue.
 func (e *Entry) closeStuckConns(i *entryInstance) {
 	s := i.service
 	silent := i.evidence == wire.EvidenceTimeout && e.now.Sub(i.aliveAt) > e.options.Timings.SuspectTimeout
@@ -95,6 +95,7 @@
 		if c.state != connBusy || r == nil {
 			continue
 		}
+		e.closeIfOverdue(c)
 		replaced := r.atPrimary && r.epoch < s.primary.Epoch && s.primary.Ready
 		if replaced || (silent && r.Kind == KindRead) {
 			e.closeConn(c)
