node: keep reads in their site while that keeps their objective

Cause: the cost of an upstream counts the entry's running statements as if it had one slot, so one running read made the own site's replica look dearer than one elsewhere; and entries whose site has only the primary sent all reads to other sites.

Change: a read runs at an upstream of its own site that is expected to answer within a tenth of its objective; at a primary without a replica in its site within a sixteenth, and while it has two free slots.

--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -226,6 +226,9 @@
 		return e.startAtPrimary(s, r, p) || e.awaitPrimary(s, r, p)
 	}
 	r.requiredPosition = floor
+	if e.prefersLocalPrimary(s, r) && e.startAtPrimary(s, r, p) {
+		return true
+	}
 	proven, likely := e.replicasForFloor(s, r, floor)
 	for _, i := range proven {
 		if e.startRead(r, i, false) {
--- a/node/entry_load.go
+++ b/node/entry_load.go
@@ -50,6 +50,9 @@
 // upstream's site. Entries do not know each other's load, so the estimate uses
 // the latency that this entry has measured.
 func (e *Entry) cost(i *entryInstance, r *entryRequest) time.Duration {
+	if e.keepsObjectiveLocally(i, r) {
+		return 0
+	}
 	n := time.Duration(i.running + i.connShortfall + 1)
 	c := n * max(i.expectedLatency(e.now), minLatency)
 	if !i.inOwnSite {
@@ -61,6 +64,44 @@
 	return c
 }
 
+// localLatencyDivisor divides the objective of a read; the result is the latency
+// up to which the read runs in its own site whatever the load elsewhere.
+const localLatencyDivisor = 10
+
+// keepsObjectiveLocally reports whether an upstream of the entry's own site is
+// expected to answer the read in a fraction of its objective. Such a read gains
+// nothing from another site, and its traffic would be charged for. This answers
+// the load of ordinary days, on which a running statement or two make an upstream
+// look dearer than one elsewhere although it has free slots.
+func (e *Entry) keepsObjectiveLocally(i *entryInstance, r *entryRequest) bool {
+	if !i.inOwnSite || i == r.lastFailed || r.Objective <= 0 {
+		return false
+	}
+	used, slots := i.running+i.connShortfall+1, i.slots()
+	latency := i.expectedLatency(e.now) * time.Duration(max(used, slots)) / time.Duration(slots)
+	return latency <= r.Objective/localLatencyDivisor
+}
+
+// localPrimaryLatencyDivisor replaces localLatencyDivisor at the primary. A read
+// there takes capacity from work that only the primary can do.
+const localPrimaryLatencyDivisor = 16
+
+// prefersLocalPrimary reports whether a read that a replica of another site could
+// serve runs at the primary, because the primary is in the entry's own site, no
+// replica is, and the primary has capacity to spare.
+func (e *Entry) prefersLocalPrimary(s *entryService, r *entryRequest) bool {
+	primary := s.primaryInstance()
+	if primary == nil || !primary.inOwnSite || primary == r.lastFailed || r.Objective <= 0 || primary.running+1 >= primary.slots() {
+		return false
+	}
+	for _, i := range s.instances {
+		if i != primary && i.inOwnSite && e.isUsable(i) && !e.isFailing(i) {
+			return false
+		}
+	}
+	return primary.expectedWait(e.now)+primary.expectedLatency(e.now) <= r.Objective/localPrimaryLatencyDivisor
+}
+
 // failedCost ranks an upstream that has just failed the request behind all
 // others.
 const failedCost = time.Hour
--- a/node/entry_load_test.go
+++ b/node/entry_load_test.go
@@ -156,3 +156,51 @@
 		So(w.latencyBudget("unknown", time.Second), ShouldEqual, time.Second)
 	})
 }
+
+// TestReadsStayInTheirSite guards against reads that cross sites although an
+// upstream of their own site answers them in a fraction of their objective, and
+// against reads that stay there when it doesn't.
+func TestReadsStayInTheirSite(t *testing.T) {
+	const objective = 400 * time.Millisecond
+	// place starts reads, of which the first one still runs, and returns where
+	// the last one runs. The primary is a.
+	place := func(own catalog.InstanceID, busy time.Duration, reads int) catalog.InstanceID {
+		w := newListedEntry()
+		at := catalog.Position{Term: 1, Offset: 1}
+		for _, i := range w.entry.services["orders"].instances {
+			i.inOwnSite = i.id == own
+			i.latency, i.latencyAt = 20*time.Millisecond, w.now
+			if i.inOwnSite {
+				i.latency = busy
+			}
+			if i.id != "a" {
+				i.positionKnown, i.positionQueriedAt, i.position = true, w.now, at
+			}
+			i.grants = []instanceGrant{{connections: 4, until: w.now.Add(time.Minute)}}
+			for range 2 {
+				w.entry.nextConn++
+				c := &entryConn{id: w.entry.nextConn, instance: i, state: connIdle, idleSince: w.now}
+				w.entry.conns[c.id], i.conns, w.conns[c.id] = c, append(i.conns, c), i.id
+			}
+		}
+		var last RunRequest
+		for id := range catalog.RequestID(reads) {
+			run, ok := w.run(RequestArrived{Request: id + 1, Kind: KindRead, Objective: objective, Database: "shop", Floor: at})
+			So(ok, ShouldBeTrue)
+			last = run
+		}
+		return w.conns[last.Conn]
+	}
+	Convey("a read runs at the replica of its site while that has free slots", t, func() {
+		So(place("b", 25*time.Millisecond, 1), ShouldEqual, catalog.InstanceID("b"))
+		So(place("b", 25*time.Millisecond, 2), ShouldEqual, catalog.InstanceID("b"))
+	})
+	Convey("a read leaves a replica of its site that is slow", t, func() {
+		So(place("b", 200*time.Millisecond, 1), ShouldNotEqual, catalog.InstanceID("b"))
+	})
+	Convey("where the primary is the only upstream of the site, a read runs there while the primary has capacity to spare", t, func() {
+		So(place("a", 10*time.Millisecond, 1), ShouldEqual, catalog.InstanceID("a"))
+		So(place("a", 10*time.Millisecond, 2), ShouldNotEqual, catalog.InstanceID("a"))
+		So(place("a", 60*time.Millisecond, 1), ShouldNotEqual, catalog.InstanceID("a"))
+	})
+}
