quorum: forget a lost leader as a learner too

Cause: only voters start a pre-vote and so forget a leader that fell silent. A learner named it for ever. Entries take the word of any control VM of their site that a leader is known; in a site that was cut off with a learner they stayed ready, the platform went on sending them callers, and they refused these for the whole cut.

Change: a member that doesn't campaign forgets a leader that it has not heard from for an election timeout, as the voters do.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -7,7 +7,8 @@
 )
 
 // Tick runs the timers that are due: heartbeats and the step-down check at the
-// leader, the election timer at the other members.
+// leader, the election timer at the other members. A member that does not campaign
+// forgets a leader that it has not heard from for an election timeout.
 func (g *Group) Tick(now catalog.Instant) Output {
 	g.advanceClock(now)
 	switch {
@@ -15,6 +16,7 @@
 		g.tickLeader()
 	case g.now.Before(g.electionAt):
 	case !g.isVoter() || g.fault == faultNeverCampaign:
+		g.becomeFollower(g.vote.Ballot, "")
 		g.resetElectionTimer()
 	case g.fault == faultNoPreVote:
 		g.startElection(false)
