node: share a saturated upstream by site, not by entry

Cause: each entry ran as many statements at an upstream as it has slots, so a saturated primary was shared by entry.

Change: the entries of a site that own the service share what their site may run, twice the slots. Control has told them who they are; nothing is asked on the way of a request, and an entry that is alone has it all.

The plays now share one model of an upstream.

Callers of sites with few entries gain, at the cost of those whose site has many.

--- a/node/entry_behind_test.go
+++ b/node/entry_behind_test.go
@@ -10,8 +10,8 @@
 	"github.com/kingcupknot/kingcupknot/catalog"
 )
 
-// behindPlay plays reads at an entry whose primary runs a fixed number of reads
-// at a time, and whose replicas apply the log so late that they cover no read.
+// behindPlay plays reads at an entry whose primary runs two reads at a time, and
+// whose replicas apply the log so late that they cover no read.
 type behindPlay struct {
 	*listedEntry
 	// runsUntil holds the reads that run, with the time of their end.
@@ -25,6 +25,7 @@
 	served   []time.Duration
 	refused  []time.Duration
 	replicas catalog.Position
+	slots    upstreamSlots
 	// work returns how long a read runs at the primary. answered is called with
 	// every answer.
 	work     func(catalog.RequestID) time.Duration
@@ -42,7 +43,7 @@
 		listedEntry: newListedEntry(), runsUntil: map[catalog.RequestID]catalog.Instant{}, runs: map[catalog.RequestID]RunRequest{},
 		arrivedAt: map[catalog.RequestID]catalog.Instant{}, offset: 1000, replicas: catalog.Position{Term: 1, Offset: 10},
 		work:     func(catalog.RequestID) time.Duration { return behindWork },
-		answered: func(catalog.RequestID, Verdict, time.Duration) {},
+		answered: func(catalog.RequestID, Verdict, time.Duration) {}, slots: make(upstreamSlots, 2),
 	}
 	return p
 }
@@ -74,9 +75,9 @@
 	for _, x := range p.effects {
 		switch v := x.(type) {
 		case RunRequest:
-			p.runs[v.Request], p.runsUntil[v.Request] = v, p.now.Add(p.work(v.Request))
-			if p.conns[v.Conn] != "a" {
-				p.runsUntil[v.Request] = p.now.Add(behindReply)
+			p.runs[v.Request], p.runsUntil[v.Request] = v, p.now.Add(behindReply)
+			if p.conns[v.Conn] == "a" {
+				p.runsUntil[v.Request] = p.slots.run(p.now, p.work(v.Request))
 			}
 		case AnswerRequest:
 			took := p.now.Sub(p.arrivedAt[v.Request])
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -171,13 +171,20 @@
 	return i.running+i.connShortfall < n
 }
 
+// siteConcurrencyFactor is the number of statements per slot that the entries of
+// one site run at an upstream.
+const siteConcurrencyFactor = 2
+
 // concurrencyLimit returns how many statements this entry may run at the
-// upstream. With UpstreamsFromControl that is the number of slots: an entry whose
-// neighbours are cut off or down has all callers, and must fill the slots alone.
-// Where several entries are busy, reads yield by the latency that all entries see.
+// upstream. With UpstreamsFromControl the entries of a site share what the site may
+// run, so that a saturated upstream is shared by the callers of the sites and not
+// by entries. It answers two loads: a primary that is asked for more than it can do
+// by sites with different numbers of entries, and an entry that has all callers
+// since the others are cut off or down, and must fill the slots alone.
 func (e *Entry) concurrencyLimit(i *entryInstance) int {
 	if e.options.UpstreamsFromControl {
-		return i.slots()
+		owners := max(min(e.ownerCount(i.service), len(e.owners.entries)), 1)
+		return max((siteConcurrencyFactor*i.slots()+owners-1)/owners, 1)
 	}
 	return max(1, int(i.adaptiveLimit))
 }
--- a/node/entry_queue_test.go
+++ b/node/entry_queue_test.go
@@ -59,9 +59,24 @@
 	arrived map[catalog.RequestID]catalog.Instant
 	ends    map[catalog.RequestID]catalog.Instant
 	runs    map[catalog.RequestID]RunRequest
-	// slotFreeAt is when each slot of the upstream will have run what was sent
-	// to it.
-	slotFreeAt [2]catalog.Instant
+	slots   upstreamSlots
+}
+
+// upstreamSlots models an upstream that runs a fixed number of statements at a
+// time and queues the others in the order of arrival: it holds when each slot will
+// have run what was sent to it.
+type upstreamSlots []catalog.Instant
+
+// run returns when a statement ends that is sent now.
+func (s upstreamSlots) run(now catalog.Instant, work time.Duration) catalog.Instant {
+	slot := 0
+	for n := range s {
+		if s[n].Before(s[slot]) {
+			slot = n
+		}
+	}
+	s[slot] = max(s[slot], now).Add(work)
+	return s[slot]
 }
 
 func (p *loadRunner) submit(waited time.Duration) {
@@ -78,12 +93,7 @@
 	for _, x := range p.effects {
 		switch v := x.(type) {
 		case RunRequest:
-			slot := 0
-			if p.slotFreeAt[1].Before(p.slotFreeAt[0]) {
-				slot = 1
-			}
-			p.slotFreeAt[slot] = max(p.slotFreeAt[slot], p.now).Add(p.load.work(v.Request))
-			p.runs[v.Request], p.ends[v.Request] = v, p.slotFreeAt[slot]
+			p.runs[v.Request], p.ends[v.Request] = v, p.slots.run(p.now, p.load.work(v.Request))
 		case AnswerRequest:
 			p.countAnswer(v)
 		}
@@ -126,7 +136,7 @@
 
 func runLoad(l offeredLoad) loadResult {
 	p := &loadRunner{
-		listedEntry: newListedEntry(), load: l, next: loadFirstRequest, arrived: map[catalog.RequestID]catalog.Instant{},
+		listedEntry: newListedEntry(), load: l, slots: make(upstreamSlots, 2), next: loadFirstRequest, arrived: map[catalog.RequestID]catalog.Instant{},
 		ends: map[catalog.RequestID]catalog.Instant{}, runs: map[catalog.RequestID]RunRequest{},
 	}
 	// Open the first connection beforehand, so that its delay does not affect
