--- a/commands/cli.go
+++ b/commands/cli.go
@@ -21,6 +21,7 @@
 // CLI holds the options, streams and client that all commands share.
 type CLI struct {
 	Options Options
+	Stdin   io.Reader
 	Stdout  io.Writer
 	Stderr  io.Writer
 	// Getenv returns the value of an environment variable, as os.Getenv does.
@@ -35,7 +36,7 @@
 // NewCLI returns a CLI with the process's output streams and environment, and
 // with random change ids.
 func NewCLI() *CLI {
-	return &CLI{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, NewChangeID: newChangeID}
+	return &CLI{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, NewChangeID: newChangeID}
 }
 
 func newChangeID() catalog.ChangeID {
--- a/commands/registry.go
+++ b/commands/registry.go
@@ -27,6 +27,8 @@
 	"primary":  "Change the primary of a service",
 	"control":  "List and replace control VMs",
 	"session":  "Look into sessions",
+	"lease":    "List the leases on primaries",
+	"route":    "List the names that callers use",
 }
 
 // register adds a command to the registry. The init function of each command's
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,7 +53,7 @@
 	s := &standalone{
 		options: o,
 		clock:   NewClock(),
-		log:     telemetry.NewLogger(string(o.Settings.Log.Level)).WithValues("vm", string(o.VM.Name)),
+		log:     telemetry.NewLogger(string(o.Settings.Log.Level)).WithValues("vm", string(o.VM.Name), "site", string(o.VM.Site)),
 		process: newProcess(),
 	}
 	s.metrics = telemetry.NewMetrics(nil)
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -50,7 +50,7 @@
 	h := &hosted{path: path, settings: s, clock: NewClock(), process: newProcess()}
 	h.lines = telemetry.NewLineWriter(os.Stdout)
 	defer h.lines.Close()
-	h.log = telemetry.NewLineLogger(h.lines).WithValues("vm", s.Name)
+	h.log = telemetry.NewLineLogger(h.lines).WithValues("vm", s.Name, "site", string(s.Site))
 	h.metrics = telemetry.NewMetrics(nil)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
