measure: add no figures of instances if none answers

Cause: without an answer the figures stood at minus the limit and counted as hits.

TestStatsWithoutAnswers fails before.

--- a/cmd/kingcupknot-measure/probes.go
+++ b/cmd/kingcupknot-measure/probes.go
@@ -23,19 +23,24 @@
 // Execute adds by how much the highest counts of connections and of statements
 // among all instances exceed the limits; a negative value is below the limit.
 // It also adds the count of refused connections and the ratio of executions to
-// requests. It skips instances that do not answer.
+// requests. It skips instances that do not answer, and adds no figure of them if
+// none does.
 func (c *statsCommand) Execute([]string) error {
-	connections, executing, refused := -c.Connections, -c.Slots, uint64(0)
+	connections, executing, refused, answered := -c.Connections, -c.Slots, uint64(0), 0
 	for _, a := range c.Upstream {
 		s, err := measure.FetchStats(a)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, a, "does not answer")
 			continue
 		}
+		answered++
 		connections = max(connections, s.PeakConnections-c.Connections)
 		executing = max(executing, s.PeakExecuting-c.Slots)
 		refused += s.RefusedConnections
 	}
+	if answered == 0 {
+		return c.addRunRatio()
+	}
 	if err := c.addFact("connections-over", float64(connections)); err != nil {
 		return err
 	}
