--- a/node/control.go
+++ b/node/control.go
@@ -221,9 +221,7 @@
 		c.applyQuorumOutput(c.quorum.Tick(c.now))
 	}
 	c.updateLeadership()
-	if leader := c.quorum.Leader(); c.isLeader || leader != "" && leader != c.options.VM {
-		c.sites.leaderlessSince = c.now
-	}
+	c.recordKnownLeader()
 	if c.isLeader && c.nextSweepAt <= c.now {
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.sweep()
@@ -321,19 +319,6 @@
 	c.adjustMembers()
 }
 
-// proposeInitialServices proposes the services of the settings if no
-// configuration was ever accepted.
-func (c *Control) proposeInitialServices() {
-	if c.initialServicesProposed || c.state.Version != 0 || len(c.options.Services) == 0 {
-		return
-	}
-	c.initialServicesProposed = true
-	c.propose(registry.Change{
-		ID:      "first-settings",
-		Replace: &registry.ReplaceServices{Services: c.options.Services},
-	}, 0)
-}
-
 // requestJoin asks other control VMs to admit this VM if it is not a member.
 func (c *Control) requestJoin() {
 	self := c.options.Saved.Self
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -274,3 +274,16 @@
 		return
 	}
 }
+
+// proposeInitialServices proposes the services of the settings if no
+// configuration was ever accepted.
+func (c *Control) proposeInitialServices() {
+	if c.initialServicesProposed || c.state.Version != 0 || len(c.options.Services) == 0 {
+		return
+	}
+	c.initialServicesProposed = true
+	c.propose(registry.Change{
+		ID:      "first-settings",
+		Replace: &registry.ReplaceServices{Services: c.options.Services},
+	}, 0)
+}
--- a/node/control_sites.go
+++ b/node/control_sites.go
@@ -30,7 +30,8 @@
 	// views holds the lists, updated at nextUpdateAt.
 	views        map[catalog.SiteID]siteView
 	nextUpdateAt catalog.Instant
-	// leaderlessSince is when this VM started or last knew another leader.
+	// leaderlessSince is when this VM started, last led or last knew another
+	// leader, whichever is latest.
 	leaderlessSince catalog.Instant
 	// awaited holds the entries that were looking for a leader when this VM
 	// became one and that have not reported to it since. It is nil if this VM
@@ -73,6 +74,13 @@
 	mark    uint64
 }
 
+// recordKnownLeader notes that this VM leads or knows another leader, if it does.
+func (c *Control) recordKnownLeader() {
+	if leader := c.quorum.Leader(); c.isLeader || leader != "" && leader != c.options.VM {
+		c.sites.leaderlessSince = c.now
+	}
+}
+
 // updateSites recomputes the active entries of all sites.
 func (c *Control) updateSites() {
 	if !c.options.DistributesUpstreams || c.now.Before(c.sites.nextUpdateAt) {
--- a/node/entry_yield.go
+++ b/node/entry_yield.go
@@ -9,11 +9,13 @@
 
 // A read that no replica can serve may run at the primary, which has work that
 // only it can do. If the replicas fall behind, all reads of a service go to the
-// primary at once, from entries that do not know each other's load. So each
-// entry measures the latency of its own requests at the primary. The higher
-// that latency is relative to the read's objective, the fewer reads the entry
-// sends there; the entry refuses the others at once. Writes and reads that must
-// run at the primary are exempt.
+// primary at once, from entries that do not know each other's load. So each entry
+// measures how long its own requests wait for the primary and run there. The longer
+// that is relative to the read's objective, the fewer reads the entry sends there;
+// the entry refuses the others at once. Writes and reads that must run at the
+// primary are exempt. The load that this answers is that of a service whose
+// replicas are all far behind, so that its primary is asked for up to two and a
+// half times of what it can run.
 
 // yieldObjectiveDivisor divides the objective of a read; the result is the time
 // that the read may be expected to take at the primary before some reads yield.
@@ -48,8 +50,8 @@
 	}
 	// If all reads yielded, this entry would no longer measure the primary's
 	// latency, so some reads still run there. Their proportion is the square of
-	// budget over latency: at four times the load that the primary can serve,
-	// the latency then settles at twice the budget, which is the objective.
+	// budget over expectation: at four times the load that the primary can serve,
+	// a read then takes twice the budget, which is half of the objective.
 	return max(e.randomBelow(expected), e.randomBelow(expected)) >= budget
 }
 
