--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -171,7 +171,7 @@
 		r.service.serviceTime += (latency - r.service.serviceTime) / 8
 		i.recordLatency(latency, e.now)
 		if r.isRead() && r.Database != "" {
-			r.service.baselines.record(r.Database, latency, e.now)
+			r.service.baselines.record(r.Database, latency)
 		}
 		if !e.options.UpstreamsFromControl {
 			e.adaptConcurrency(i, latency)
--- a/node/entry_yield.go
+++ b/node/entry_yield.go
@@ -59,19 +59,10 @@
 // each database of a service. If the primary can't serve all reads, more
 // callers are served if the reads with the highest baseline yield first.
 type readBaselines struct {
-	// byDatabase holds the baselines, mean is their average over all reads.
-	byDatabase map[string]readBaseline
-	mean       time.Duration
-}
-
-// readBaseline is the baseline of one database.
-type readBaseline struct {
-	// latency is a low quantile of the latency of reads.
-	latency time.Duration
-	// reads counts the reads up to learningReads, raisedAt is when the latency was
-	// last raised.
-	reads    int
-	raisedAt catalog.Instant
+	// latencies are low quantiles of the latency of reads, by database; mean is
+	// the average baseline over all reads.
+	latencies map[string]time.Duration
+	mean      time.Duration
 }
 
 // Divisors of the step towards a latency below and above the quantile. Their
@@ -82,50 +73,25 @@
 	baselineDivisorAbove = 32
 )
 
-// While a primary is overloaded, all reads wait in its queue, and their latencies
-// hardly differ. Baselines that followed would soon be alike, so that long reads
-// would no longer yield before short ones. Therefore a baseline rises fast only
-// until learningReads were seen, and then by at most its own size in
-// baselineRiseTime, whatever the number of reads.
-const (
-	learningReads    = 64
-	baselineRiseTime = 30 * time.Second
-	// maxRiseInterval is the longest time that one read accounts for.
-	maxRiseInterval = time.Second
-)
-
 // record adjusts the baseline of a database to the latency of one read.
-func (w *readBaselines) record(database string, latency time.Duration, now catalog.Instant) {
-	if w.byDatabase == nil {
-		w.byDatabase = map[string]readBaseline{}
-	}
-	b, ok := w.byDatabase[database]
-	if !ok {
-		b.latency = latency
+func (w *readBaselines) record(database string, latency time.Duration) {
+	if w.latencies == nil {
+		w.latencies = map[string]time.Duration{}
 	}
-	b.adjust(latency, now)
-	w.byDatabase[database] = b
-	if w.mean == 0 {
-		w.mean = b.latency
-	}
-	w.mean += (b.latency - w.mean) / baselineDivisorAbove
-}
-
-func (b *readBaseline) adjust(latency time.Duration, now catalog.Instant) {
-	rise := min(latency-b.latency, b.latency)
+	baseline, ok := w.latencies[database]
 	switch {
-	case latency < b.latency:
-		b.latency += (latency - b.latency) / baselineDivisorBelow
-	case b.reads < learningReads:
-		b.latency += rise / baselineDivisorAbove
-		b.raisedAt = now
+	case !ok:
+		baseline = latency
+	case latency < baseline:
+		baseline += (latency - baseline) / baselineDivisorBelow
 	default:
-		elapsed := min(now.Sub(b.raisedAt), maxRiseInterval)
-		b.latency += time.Duration(float64(rise) * elapsed.Seconds() / baselineRiseTime.Seconds())
-		b.raisedAt = now
+		baseline += min(latency-baseline, baseline) / baselineDivisorAbove
+	}
+	w.latencies[database] = max(baseline, 1)
+	if w.mean == 0 {
+		w.mean = w.latencies[database]
 	}
-	b.latency = max(b.latency, 1)
-	b.reads = min(b.reads+1, learningReads)
+	w.mean += (w.latencies[database] - w.mean) / baselineDivisorAbove
 }
 
 // dropUnroutedBaselines removes the baselines of databases that no longer have
@@ -136,7 +102,7 @@
 		known[r.Database] = true
 	}
 	for _, s := range e.services {
-		maps.DeleteFunc(s.baselines.byDatabase, func(database string, _ readBaseline) bool { return !known[database] })
+		maps.DeleteFunc(s.baselines.latencies, func(database string, _ time.Duration) bool { return !known[database] })
 	}
 }
 
@@ -150,7 +116,7 @@
 // latencyBudget returns the expected latency above which reads of a database
 // yield. averageBudget is the budget of a read with an average baseline.
 func (w *readBaselines) latencyBudget(database string, averageBudget time.Duration) time.Duration {
-	baseline := w.byDatabase[database].latency
+	baseline := w.latencies[database]
 	if baseline == 0 || w.mean == 0 {
 		return averageBudget
 	}
