capacity: play a scarce primary with the real entry reducers

kingcupknot-slopes scarcity plays sites with different numbers of entries, a primary that is asked for more than it can run, replicas that are behind, two kinds of reads and lost answers in virtual time, and prints what callers get and the best on paper.

--- a/cmd/kingcupknot-slopes/main.go
+++ b/cmd/kingcupknot-slopes/main.go
@@ -20,6 +20,8 @@
 	From  string `long:"from" value-name:"FILE" description:"Derive the figures from a report instead of measuring."`
 
 	Recover recoverCommand `command:"recover" description:"Play the loss of control's leader and of most entries, at several sizes."`
+
+	Scarcity scarcityCommand `command:"scarcity" description:"Play a service whose replicas are all far behind, so that its primary is asked for more than it can run."`
 }
 
 func main() {
