organisation: add organisations and their keys to the configuration

Callers of some deployments belong to organisations, which hold keys and a limit. Nothing checked keys, and upstreams were told one fixed name. Keys are now looked up when a session starts and at each operation, so that one that is withdrawn takes effect in open sessions. Entries get digests only. Deployments without organisations need no key.

--- a/catalog/route.go
+++ b/catalog/route.go
@@ -53,6 +53,8 @@
 	Objective time.Duration `cbor:"7,keyasint" json:"objective"`
 	// Priority orders the routes for load shedding, 0 first.
 	Priority int `cbor:"8,keyasint" json:"priority"`
+	// KeyExempt lets callers connect without a key of an organisation.
+	KeyExempt bool `cbor:"9,keyasint,omitempty" json:"key-exempt,omitempty"`
 }
 
 // Configuration is one version of the services and routes that operators
@@ -63,6 +65,10 @@
 	// Routes are sorted by key. Invariant: keys are unique, and the service of
 	// each route is in Services.
 	Routes []Route
+	// KeysRequired is set if callers need the key of an organisation, also if
+	// Organisations is empty. Organisations are sorted by id.
+	KeysRequired  bool
+	Organisations []Organisation
 	// TransactionIdle is how long a transaction may be idle before it may be
 	// rolled back. Zero means no bound.
 	TransactionIdle time.Duration
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -114,6 +114,9 @@
 		"epoch", uint64(d.Epoch), "lease-left-ms", d.LeaseLeft.Milliseconds(),
 		"took-us", d.Duration.Microseconds(), "waited-us", d.WaitTime.Microseconds(),
 	}
+	if d.Organisation != "" {
+		pairs = append(pairs, "organisation", string(d.Organisation))
+	}
 	if d.ForwardedFrom != "" {
 		pairs = append(pairs, "from", string(d.ForwardedFrom))
 	}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -280,7 +280,7 @@
 	default:
 		a.Version = c.state.Version
 		c.addSettingsToAnswer(a, v.settingsVersion)
-		v.sentFromVersion, v.sentArrivesAt = v.settingsVersion, c.now.Add(time.Duration(len(a.Routes))*routeTransferTime)
+		v.sentFromVersion, v.sentArrivesAt = v.settingsVersion, c.now.Add(time.Duration(len(a.Routes)+len(a.Organisations))*routeTransferTime)
 	}
 	c.addUpstreamsToAnswer(a, v)
 	c.addEntriesToAnswer(a, v)
@@ -344,6 +344,8 @@
 	a.Services, a.RemovedServices = c.state.ServicesSince(have)
 	a.Routes, a.RemovedRoutes = c.state.RoutesSince(have)
 	a.TransactionIdle = c.state.TransactionIdle
+	a.KeysRequired = c.state.KeysRequired
+	a.Organisations, a.RemovedOrganisations = c.state.OrganisationsSince(have)
 	a.Full = have == 0
 	if c.state.DrainedVersion > have {
 		a.Drained, a.HasDrained = c.state.Drained, true
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -21,6 +21,7 @@
 	c.proposeForCommand(number, registry.Change{Adopt: &registry.AdoptConfiguration{
 		Version: f.Version, Services: f.Services, Routes: f.Routes,
 		TransactionIdle: f.TransactionIdle, Document: f.Document,
+		KeysRequired: f.KeysRequired, Organisations: f.Organisations,
 	}})
 }
 
--- a/node/effect.go
+++ b/node/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/organisation"
 	"github.com/kingcupknot/kingcupknot/quorum"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
@@ -30,6 +31,9 @@
 	Service  catalog.ServiceID
 	Instance catalog.InstanceID
 	Address  string
+	// Organisation is the organisation whose requests the connection is to run,
+	// empty for requests without organisation and for probes.
+	Organisation catalog.OrganisationID
 	// Deadline is when the attempt to connect is given up.
 	Deadline catalog.Instant
 }
@@ -165,6 +169,9 @@
 	// Routes are sorted by key. The slice is not modified after it is sent.
 	Routes          []catalog.Route
 	TransactionIdle time.Duration
+	// Organisations finds the organisation of a caller's key. It is nil if
+	// callers need no key.
+	Organisations *organisation.Directory
 }
 
 // ReadinessChanged says whether this entry can serve new callers. Reason is a
--- a/node/entry.go
+++ b/node/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/organisation"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -71,6 +72,8 @@
 	// stay idle.
 	routes          []catalog.Route
 	transactionIdle time.Duration
+	// organisations is nil if callers need no key.
+	organisations *organisation.Directory
 	// upstreamsMark identifies the newest list of upstreams received from
 	// control.
 	upstreamsMark wire.UpstreamsMark
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -31,7 +31,10 @@
 	if len(a.RemovedRoutes) > 0 {
 		e.dropUnroutedBaselines()
 	}
-	e.emit(RoutesChanged{Version: e.version, Routes: routes, TransactionIdle: e.transactionIdle})
+	e.applyOrganisations(a)
+	e.emit(RoutesChanged{
+		Version: e.version, Routes: routes, TransactionIdle: e.transactionIdle, Organisations: e.organisations,
+	})
 }
 
 // applyUpstreams applies control's list of upstreams unless the same leader has
--- a/node/event.go
+++ b/node/event.go
@@ -91,8 +91,11 @@
 	// Database is the name under which the caller reached the service. Requests
 	// to the same database are assumed to do similar work.
 	Database string
-	Kind     RequestKind
-	Class    Class
+	// Organisation is the organisation of the caller, empty if the caller
+	// belongs to none.
+	Organisation catalog.OrganisationID
+	Kind         RequestKind
+	Class        Class
 	// HeldConn is the connection that the caller's transaction holds, for
 	// KindInTransaction.
 	HeldConn catalog.ConnID
--- a/registry/adopt.go
+++ b/registry/adopt.go
@@ -29,9 +29,15 @@
 	if text := CheckConfiguration(services, routes); text != "" {
 		return s.invalid(text)
 	}
+	organisations := slices.SortedFunc(slices.Values(a.Organisations), catalog.Organisation.Compare)
+	if text := CheckOrganisations(organisations); text != "" {
+		return s.invalid(text)
+	}
 	s.markChangedServices(services, a.Version)
 	s.markChangedRoutes(routes, a.Version)
+	s.markChangedOrganisations(organisations, a.Version)
 	s.Services, s.Routes = services, routes
+	s.KeysRequired, s.Organisations = a.KeysRequired, organisations
 	s.TransactionIdle, s.Document, s.Version = a.TransactionIdle, a.Document, a.Version
 	return Result{Code: CodeOK, Version: s.Version, Text: fmt.Sprintf("version %d with %d routes is in force", a.Version, len(routes))}
 }
--- a/registry/change.go
+++ b/registry/change.go
@@ -48,6 +48,9 @@
 	TransactionIdle time.Duration `cbor:"4,keyasint"`
 	// Document is the operator's configuration file, compressed.
 	Document []byte `cbor:"5,keyasint"`
+	// KeysRequired is set if callers need the key of an organisation.
+	KeysRequired  bool                   `cbor:"6,keyasint,omitempty"`
+	Organisations []catalog.Organisation `cbor:"7,keyasint,omitempty"`
 }
 
 // RetireUpstream permanently excludes an upstream from new work in all its
--- a/registry/state.go
+++ b/registry/state.go
@@ -86,6 +86,13 @@
 	// Upstreams are the registered upstreams that are not retired, sorted by
 	// instance.
 	Upstreams []catalog.Announcement `cbor:"13,keyasint,omitempty"`
+	// KeysRequired is set if callers need the key of an organisation.
+	// Organisations are sorted by id.
+	KeysRequired  bool                   `cbor:"14,keyasint,omitempty"`
+	Organisations []catalog.Organisation `cbor:"15,keyasint,omitempty"`
+	// OrganisationVersions are sorted by id. An organisation that is listed here
+	// but not in Organisations was removed.
+	OrganisationVersions []OrganisationVersion `cbor:"16,keyasint,omitempty"`
 	// resultByID is an index of Results.
 	resultByID map[catalog.ChangeID]Result
 }
--- a/session/forward.go
+++ b/session/forward.go
@@ -39,6 +39,9 @@
 	Values   map[string]string `cbor:"14,keyasint,omitempty"`
 	Template string            `cbor:"15,keyasint,omitempty"`
 	MayWrite bool              `cbor:"16,keyasint,omitempty"`
+	// Organisation is the organisation of the caller, as the entry that the
+	// caller is connected to has determined it.
+	Organisation catalog.OrganisationID `cbor:"17,keyasint,omitempty"`
 }
 
 // statement returns the statement to run.
@@ -100,7 +103,7 @@
 func (c *session) newForwardedRequest(st Statement, route catalog.Route, kind node.RequestKind, deadline catalog.Instant) ForwardedRequest {
 	remaining := max(deadline.Sub(c.server.options.Now()), 0)
 	f := ForwardedRequest{
-		ID: st.ID, Verb: st.Verb, Kind: kind, Text: st.Text, Service: route.Service, Database: c.database,
+		ID: st.ID, Verb: st.Verb, Kind: kind, Text: st.Text, Service: route.Service, Database: c.database, Organisation: c.organisation,
 		PrimaryOnly: route.Reads == catalog.ReadsPrimary, Priority: route.Priority, Values: c.values,
 		MaxAge: route.MaxAge.Milliseconds(), Objective: route.Objective.Milliseconds(), Remaining: remaining.Milliseconds(),
 		WaitTime: (max(route.Timeout-remaining, 0) + c.waitTime).Milliseconds(),
@@ -238,7 +241,7 @@
 	if f.Kind == node.KindBegin || f.Kind == node.KindBeginRead {
 		c.tx = &transaction{route: route, readOnly: f.Kind == node.KindBeginRead}
 	}
-	c.database, c.values, c.floor, c.waitTime = f.Database, f.Values, f.Floor, milliseconds(f.WaitTime)
+	c.database, c.organisation, c.values, c.floor, c.waitTime = f.Database, f.Organisation, f.Values, f.Floor, milliseconds(f.WaitTime)
 	c.statements = map[string]preparedStatement{st.Name: {mayWrite: f.MayWrite, template: f.Template}}
 	o := c.request(st, route, f.Kind)
 	if o.mayRunElsewhere && f.Kind != node.KindInTransaction {
--- a/session/pool.go
+++ b/session/pool.go
@@ -19,6 +19,9 @@
 	Service  catalog.ServiceID
 	Instance catalog.InstanceID
 	Address  string
+	// Organisation is the organisation whose requests the connection is to run,
+	// empty if it runs none of an organisation.
+	Organisation catalog.OrganisationID
 }
 
 // ErrWrongUpstream reports that another upstream than the target listens at the
@@ -73,7 +76,7 @@
 }
 
 func (p *Pool) open(e node.OpenConn) {
-	transport, err := p.options.Dial(Target{Service: e.Service, Instance: e.Instance, Address: e.Address}, p.timeUntil(e.Deadline))
+	transport, err := p.options.Dial(Target{Service: e.Service, Instance: e.Instance, Address: e.Address, Organisation: e.Organisation}, p.timeUntil(e.Deadline))
 	if err != nil {
 		evidence := evidenceOf(err)
 		if !p.remove(e.Conn) {
--- a/session/request.go
+++ b/session/request.go
@@ -39,8 +39,10 @@
 type Decision struct {
 	Request  string
 	Database string
-	Service  catalog.ServiceID
-	Verb     Verb
+	// Organisation is the organisation of the caller, empty if it has none.
+	Organisation catalog.OrganisationID
+	Service      catalog.ServiceID
+	Verb         Verb
 	// Verdict is done, not-run or unknown.
 	Verdict string
 	Reason  string
@@ -80,7 +82,7 @@
 // request submits one statement to the entry's reducer, carries out the
 // reducer's effects for it and returns the outcome.
 func (c *session) request(st Statement, route catalog.Route, kind node.RequestKind) outcome {
-	d := Decision{Request: st.ID, Database: c.database, Service: route.Service, Verb: st.Verb, ForwardedFrom: c.forwardedFrom}
+	d := Decision{Request: st.ID, Database: c.database, Organisation: c.organisation, Service: route.Service, Verb: st.Verb, ForwardedFrom: c.forwardedFrom}
 	if c.tx != nil && c.tx.peer != nil {
 		return c.forwardInTransaction(st, route, d)
 	}
@@ -88,7 +90,7 @@
 	defer c.server.unregister(id)
 	now := c.server.options.Now()
 	in := node.RequestArrived{
-		Request: id, Service: route.Service, Database: c.database, Kind: kind, Class: classOf(route),
+		Request: id, Service: route.Service, Database: c.database, Organisation: c.organisation, Kind: kind, Class: classOf(route),
 		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
 		Deadline: now.Add(route.Timeout), Objective: route.Objective, Forwarded: c.forwardedFrom != "", Waited: c.waitTime,
 	}
--- a/session/routes.go
+++ b/session/routes.go
@@ -30,11 +30,15 @@
 	r.current = next
 }
 
-// find returns the route of a database, if there is one.
-func (r *routes) find(database string) (catalog.Route, bool) {
+// snapshot returns the configuration in force. Its parts belong to one version.
+func (r *routes) snapshot() node.RoutesChanged {
 	r.mutex.Lock()
-	list := r.current.Routes
-	r.mutex.Unlock()
+	defer r.mutex.Unlock()
+	return r.current
+}
+
+// findRoute returns the route of a database, if there is one.
+func findRoute(list []catalog.Route, database string) (catalog.Route, bool) {
 	i := sort.Search(len(list), func(i int) bool { return list[i].Database >= database })
 	if i < len(list) && list[i].Database == database {
 		return list[i], true
--- a/session/server.go
+++ b/session/server.go
@@ -9,12 +9,19 @@
 	"github.com/kingcupknot/kingcupknot/node"
 )
 
+// Startup is the message with which a caller opens its session.
+type Startup struct {
+	// Database is the name of the database that the caller asks for.
+	Database string
+	// Key identifies the caller. It is empty if the caller gave none.
+	Key string
+}
+
 // CallerConn is the connection to one caller. The platform decodes and encodes
 // its messages.
 type CallerConn struct {
-	// ReceiveStartup reads the startup message and returns the name of the
-	// database that the caller asks for.
-	ReceiveStartup func() (string, error)
+	// ReceiveStartup reads the startup message.
+	ReceiveStartup func() (Startup, error)
 	// Receive reads one statement. It fails with ErrInterrupted once the time
 	// set by InterruptAt has passed, and can then be called again.
 	Receive func() (Statement, error)
--- a/session/session.go
+++ b/session/session.go
@@ -22,6 +22,10 @@
 	server   *Server
 	caller   CallerConn
 	database string
+	// key is the digest of the caller's key. organisation is the organisation
+	// that held the key when the last operation began, empty if there is none.
+	key          catalog.KeyDigest
+	organisation catalog.OrganisationID
 	// values and statements are the session values and prepared statements that
 	// were confirmed to the caller.
 	values     map[string]string
@@ -103,7 +107,7 @@
 
 // start reads the caller's startup message and accepts or refuses the session.
 func (c *session) start() bool {
-	database, err := c.caller.ReceiveStartup()
+	startup, err := c.caller.ReceiveStartup()
 	if err != nil {
 		return false
 	}
@@ -117,12 +121,12 @@
 		return false
 	}
 	c.waitTime = time.Since(startedAt)
-	if _, ok := c.server.routes.find(database); !ok {
-		c.server.logDecision(Decision{Database: database, Verdict: "no-database"})
-		c.caller.Refuse(CodeNoDatabase, "no database has this name")
+	c.database, c.key = startup.Database, catalog.DigestKey(startup.Key)
+	if _, code := c.admit(); code != CodeNone {
+		c.server.logDecision(Decision{Database: c.database, Verdict: admissionVerdicts[code]})
+		c.caller.Refuse(code, admissionTexts[code])
 		return false
 	}
-	c.database = database
 	c.lastActive = time.Now()
 	return c.caller.Answer(Answer{State: StateIdle}) == nil
 }
@@ -235,9 +239,9 @@
 // with its first statement, so that it holds none while the caller is idle before
 // that.
 func (c *session) begin(st Statement) error {
-	route, ok := c.server.routes.find(c.database)
-	if !ok {
-		return c.answerError(CodeNoDatabase, "no database has this name any more")
+	route, code := c.admit()
+	if code != CodeNone {
+		return c.rejectOperation(st, code)
 	}
 	c.tx = &transaction{route: route, readOnly: st.Verb == VerbBeginRead}
 	if idle, _ := c.server.routes.transactionIdleAndVersion(); idle > 0 {
@@ -259,9 +263,9 @@
 
 // runAutocommit runs a statement outside a transaction.
 func (c *session) runAutocommit(st Statement) error {
-	route, ok := c.server.routes.find(c.database)
-	if !ok {
-		return c.answerError(CodeNoDatabase, "no database has this name any more")
+	route, code := c.admit()
+	if code != CodeNone {
+		return c.rejectOperation(st, code)
 	}
 	writes, ok := c.mayWrite(st)
 	if !ok {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -27,7 +27,7 @@
 
 func (k *scriptedCaller) callerConn() CallerConn {
 	return CallerConn{
-		ReceiveStartup: func() (string, error) { return "shop", nil },
+		ReceiveStartup: func() (Startup, error) { return Startup{Database: "shop"}, nil },
 		Receive: func() (Statement, error) {
 			if len(k.statements) == 0 {
 				if last := k.interrupts[len(k.interrupts)-1]; !last.IsZero() && len(k.refused) == 0 {
--- a/session/statement.go
+++ b/session/statement.go
@@ -92,6 +92,8 @@
 	// CodeNoStatement means that the upstream has no such prepared statement.
 	// Nothing was run.
 	CodeNoStatement
+	// CodeUnknownKey means that the caller's key belongs to no organisation.
+	CodeUnknownKey
 	// CodeOther means any other error. The upstream's error text is forwarded to
 	// the caller.
 	CodeOther
--- a/wire/message.go
+++ b/wire/message.go
@@ -114,6 +114,11 @@
 	// received, as the function EntriesMark returns it. It is zero if the entry
 	// has received none.
 	EntriesMark uint64 `cbor:"15,keyasint,omitempty"`
+	// Usage lists the organisations whose callers recently asked the entry for
+	// operations.
+	Usage []OrganisationUsage `cbor:"16,keyasint,omitempty"`
+	// Work lists the services for whose upstreams the entry has work.
+	Work []ServiceWork `cbor:"17,keyasint,omitempty"`
 }
 
 // UpstreamsMark identifies a revision of one leader's list of upstreams.
@@ -188,6 +193,57 @@
 	// number of sites with entries.
 	Entries   []catalog.VMID `cbor:"20,keyasint,omitempty"`
 	SiteCount int            `cbor:"21,keyasint,omitempty"`
+	// Organisations and RemovedOrganisations are the organisations that changed
+	// and those that were removed between the entry's version and Version.
+	// KeysRequired is the KeysRequired of the configuration of Version.
+	Organisations        []catalog.Organisation   `cbor:"22,keyasint,omitempty"`
+	RemovedOrganisations []catalog.OrganisationID `cbor:"23,keyasint,omitempty"`
+	KeysRequired         bool                     `cbor:"24,keyasint,omitempty"`
+	// Limits are the shares of limited organisations that the entry gets.
+	Limits []OrganisationLimit `cbor:"25,keyasint,omitempty"`
+	// SiteShares are the shares of saturated services that the entry's site
+	// gets, where they differ from an even share.
+	SiteShares []SiteShare `cbor:"26,keyasint,omitempty"`
+}
+
+// OrganisationUsage is the rate at which an organisation's callers asked an entry
+// for operations, whether they were admitted or not.
+type OrganisationUsage struct {
+	Organisation catalog.OrganisationID `cbor:"1,keyasint"`
+	// Rate is in operations per second.
+	Rate float32 `cbor:"2,keyasint"`
+}
+
+// OrganisationLimit is an entry's share of the limit of an organisation that asks
+// for more than its limit or nearly as much.
+type OrganisationLimit struct {
+	Organisation catalog.OrganisationID `cbor:"1,keyasint"`
+	// Rate is in operations per second, Burst in operations.
+	Rate  float32 `cbor:"2,keyasint"`
+	Burst float32 `cbor:"3,keyasint"`
+	// Length is the duration of the share, counted from the same moment as
+	// Lease.Length.
+	Length time.Duration `cbor:"4,keyasint"`
+}
+
+// ServiceWork is how much work an entry has for the upstreams of a service.
+type ServiceWork struct {
+	Service catalog.ServiceID `cbor:"1,keyasint"`
+	// Asked is the number of requests that run or wait for the service's
+	// primary.
+	Asked float32 `cbor:"2,keyasint"`
+}
+
+// SiteShare is the share of a service's saturated upstreams that the entries of
+// one site may use.
+type SiteShare struct {
+	Service catalog.ServiceID `cbor:"1,keyasint"`
+	// Statements is the number of statements that the entries of the site
+	// together may run at an upstream of the service.
+	Statements float32 `cbor:"2,keyasint"`
+	// Length is the duration of the share, counted from the same moment as
+	// Lease.Length.
+	Length time.Duration `cbor:"3,keyasint"`
 }
 
 // EntriesMark returns a hash of a list of entries and the number of sites. It
