node: run requests on connections of their organisation only

An upstream takes the organisation's name when a connection is opened, so a connection can't run requests of another organisation. Entries opened connections without an organisation and shared them among all requests.

A connection now belongs to an organisation. A request without one gets a new connection, in the place of the idle connection with the lowest expected use (package connplace) if the grant is used up. Requests of an organisation go to one owner of the service, or to several if its configured rate is high. Without organisations nothing changes.

--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -67,7 +67,10 @@
 	if over <= 0 {
 		return
 	}
-	e.closeConns(i, over, connIdle)
+	if i.servesOrganisations() {
+		e.closeLeastUsed(i, over)
+	}
+	e.closeConns(i, i.openCount()-e.connLimit(i, e.now), connIdle)
 	over = i.openCount() - max(i.hardConnLimit(), e.connLimit(i, e.now))
 	for _, state := range []connState{connOpening, connProbing, connBusy, connHeld} {
 		over -= e.closeConns(i, over, state)
@@ -120,11 +123,11 @@
 	c.state, c.idleSince = connIdle, e.now
 }
 
-// pickConn returns an idle connection for a request. If there is none, it
-// counts the request in connShortfall and returns nil. If two or more
+// pickConn returns an idle connection of the request's organisation. If there is
+// none, it records that the request lacks one and returns nil. If two or more
 // connections are established, one that runs no request is reserved for probes,
 // except with UpstreamsFromControl.
-func (e *Entry) pickConn(i *entryInstance) *entryConn {
+func (e *Entry) pickConn(i *entryInstance, r *entryRequest) *entryConn {
 	var idle *entryConn
 	unused, established := 0, 0
 	for _, c := range i.conns {
@@ -134,13 +137,13 @@
 		if c.state == connIdle || c.state == connProbing {
 			unused++
 		}
-		if c.state == connIdle && !c.closeWhenFree && idle == nil {
+		if idle == nil && c.isIdleFor(r.Organisation) {
 			idle = c
 		}
 	}
 	reserved := !e.options.UpstreamsFromControl && unused < 2 && established >= 2
 	if idle == nil || reserved {
-		i.connShortfall++
+		i.recordLack(r)
 		return nil
 	}
 	return idle
@@ -215,6 +218,10 @@
 	if !e.acceptsWork(i) || i.announcement.Address == "" {
 		return
 	}
+	if i.servesOrganisations() {
+		e.openForOrganisations(i)
+		return
+	}
 	missing := e.targetConns(i) - i.openCount()
 	room := e.connLimit(i, e.now) - len(i.conns)
 	if missing > room && e.neededConns(i) > i.neededAtReport {
@@ -235,7 +242,7 @@
 	}
 	i.confirmRefusal = false
 	for ; missing > 0; missing-- {
-		e.openConn(i)
+		e.openConn(i, "")
 	}
 }
 
@@ -278,14 +285,16 @@
 	return s.wasUsed && e.now.Before(s.usedAt.Add(serviceIdleTimeout))
 }
 
-func (e *Entry) openConn(i *entryInstance) {
+// openConn opens a connection for an organisation, or one for probes and requests
+// without organisation.
+func (e *Entry) openConn(i *entryInstance, organisation catalog.OrganisationID) {
 	e.nextConn++
-	c := &entryConn{id: e.nextConn, instance: i, state: connOpening}
+	c := &entryConn{id: e.nextConn, instance: i, state: connOpening, organisation: organisation}
 	e.conns[c.id] = c
 	i.conns = append(i.conns, c)
 	e.emit(OpenConn{
 		Conn: c.id, Service: i.service.id, Instance: i.id,
-		Address: i.announcement.Address, Deadline: e.now.Add(e.options.Timings.SuspectTimeout),
+		Address: i.announcement.Address, Organisation: organisation, Deadline: e.now.Add(e.options.Timings.SuspectTimeout),
 	})
 }
 
--- a/node/entry_owner.go
+++ b/node/entry_owner.go
@@ -174,12 +174,13 @@
 // false.
 func (e *Entry) forward(s *entryService, r *entryRequest) bool {
 	owners := e.ownersOf(s)
-	if r.forwardCount >= maxForwards || len(owners) == 0 || slices.Contains(owners, e.options.VM) {
+	to := e.ownerFor(s, r.Organisation, owners)
+	if r.forwardCount >= maxForwards || to == "" || to == e.options.VM {
 		r.runsLocally = true
 		return false
 	}
 	r.forwardCount++
-	r.forwardedTo = owners[rendezvousWeight(e.options.VM, s.id)%uint64(len(owners))]
+	r.forwardedTo = to
 	e.emit(ForwardRequest{Request: r.Request, To: r.forwardedTo})
 	return true
 }
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -157,7 +157,7 @@
 	if !e.hasSlot(i, r.Class) {
 		return false
 	}
-	c := e.pickConn(i)
+	c := e.pickConn(i, r)
 	if c == nil {
 		return false
 	}
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -99,6 +99,9 @@
 	i.running++
 	s.running = append(s.running, r)
 	c.state, c.request = connBusy, r
+	if r.Organisation != "" && r.Kind != KindInTransaction {
+		i.recordUse(c, e.now)
+	}
 	r.awaitsReplica = false
 	if r.Kind != KindInTransaction {
 		c.inTransaction = r.Kind == KindBegin || r.Kind == KindBeginRead
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -201,6 +201,7 @@
 	// connShortfall is the number of requests that found no connection in this
 	// step.
 	connShortfall int
+	place         connsPlace
 	// demand is the highest number of connections that requests needed at the
 	// same time in the current demand window, which ends at demandWindowEnd,
 	// and in the previous one.
@@ -261,8 +262,14 @@
 type entryConn struct {
 	id       catalog.ConnID
 	instance *entryInstance
-	state    connState
-	request  *entryRequest
+	// organisation is the one whose requests the connection runs, empty for
+	// requests without organisation and for probes. Invariant: the connection
+	// runs no request of another organisation.
+	organisation catalog.OrganisationID
+	// wasUsed is set once a request has run on the connection.
+	wasUsed bool
+	state   connState
+	request *entryRequest
 	// inTransaction is set while a caller's transaction uses the connection,
 	// mayWrite if that transaction may write, atPrimary if it began at the
 	// primary, and epoch is the epoch in which it began.
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -13,7 +13,7 @@
 		return e.awaitPrimary(s, r, p)
 	}
 	if e.hasSlot(i, r.Class) {
-		if c := e.pickConn(i); c != nil {
+		if c := e.pickConn(i, r); c != nil {
 			e.startRequest(r, c)
 			return true
 		}
