node: keep and grant connections by the expected use of organisations

A request of an organisation lacked a connection at every candidate upstream, so up to three were opened for it; with fewer places than organisations the demand followed only the requests of the last second, and control reclaimed all idle connections of an entry at once.

A request lacks a connection at one upstream only, waits at most 40 ms before it takes the place of a connection that requests behind it could use, and prefers upstreams with an idle connection. Entries report the connections that are worth keeping (wire.Demand.Kept); control divides what requests need first and then these. An owner may run the part of a site's statements that its organisations are expected to need.

The tests of node and connplace pass.

--- a/connplace/connplace.go
+++ b/connplace/connplace.go
@@ -22,11 +22,10 @@
 	// enough to follow one that stops.
 	HalfLife = 10 * time.Second
 	// MinUse is the number of uses per second from which an idle connection is
-	// worth keeping. An upstream with 54 connections for 73 organisations in 3 or
-	// 4 sites has a place for each organisation and site above this rate at usual
-	// load; below it, opening a connection for each use costs less than 0.2% of a
-	// slot.
-	MinUse = 0.1
+	// worth keeping. Below it, opening a connection of 12 ms for each use costs
+	// less than 0.1% of a slot. A single use exceeds it for 5 s, so a place is
+	// asked for before an organisation that has just begun sends its next request.
+	MinUse = 0.05
 	// maxOrganisations is the number of organisations whose uses are recorded.
 	maxOrganisations = 1024
 	// forgottenCount is the number of weighted uses below which an organisation
@@ -123,14 +122,18 @@
 	})
 }
 
-// WorthKeeping returns how many connections the organisations need: for each
-// organisation as many as are worth keeping, and at least as many as inUse counts
+// Wanted returns how many connections the organisations want: for each one as many
+// as are worth keeping, but no more than most, and at least as many as inUse counts
 // for it.
-func (u *Uses) WorthKeeping(inUse map[catalog.OrganisationID]int, hold time.Duration, now catalog.Instant) int {
+func (u *Uses) Wanted(inUse map[catalog.OrganisationID]int, most int, hold time.Duration, now catalog.Instant) int {
 	total := 0
-	for id := range u.counts {
+	for id, c := range u.counts {
+		if c.usesAt(now) < forgottenCount {
+			delete(u.counts, id)
+			continue
+		}
 		n := 0
-		for u.ExpectedUse(id, n+1, hold, now) >= MinUse {
+		for n < most && u.ExpectedUse(id, n+1, hold, now) >= MinUse {
 			n++
 		}
 		total += max(n-inUse[id], 0)
--- a/node/control_grant.go
+++ b/node/control_grant.go
@@ -153,6 +153,9 @@
 // lacks one.
 func (c *Control) shareByDemand(vm catalog.VMID, s catalog.Service, u *upstreamView, d wire.Demand, free int, starved bool, demands []int) int {
 	id := u.announcement.Instance
+	if c.hasKept(id) {
+		return c.shareByUse(vm, s, u, d)
+	}
 	if d.Idle {
 		if starved {
 			return 0
--- a/node/entry.go
+++ b/node/entry.go
@@ -256,7 +256,7 @@
 	for _, i := range s.instances {
 		e.trimConns(i)
 		e.closeStuckConns(i)
-		i.connShortfall, i.place.lacking = 0, i.place.lacking[:0]
+		i.resetShortfall()
 	}
 	e.reconcileReplication(s)
 	e.dispatch(s)
--- a/node/entry_conn.go
+++ b/node/entry_conn.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if i.servesOrganisations() {
-		e.closeLeastUsed(i, over)
+		e.closeLeastUsed(i, e.idleCandidates(i), over)
 	}
 	e.closeConns(i, i.openCount()-e.connLimit(i, e.now), connIdle)
 	over = i.openCount() - max(i.hardConnLimit(), e.connLimit(i, e.now))
@@ -143,7 +143,7 @@
 	}
 	reserved := !e.options.UpstreamsFromControl && unused < 2 && established >= 2
 	if idle == nil || reserved {
-		i.recordLack(r)
+		e.recordLack(i, r)
 		return nil
 	}
 	return idle
@@ -159,6 +159,7 @@
 	i.backoff, i.openAfter = 0, e.now
 	e.recordAlive(i)
 	if c.state == connOpening {
+		i.place.recordOpening(e.now.Sub(c.openedAt))
 		e.releaseConn(c)
 	}
 }
@@ -289,7 +290,7 @@
 // without organisation.
 func (e *Entry) openConn(i *entryInstance, organisation catalog.OrganisationID) {
 	e.nextConn++
-	c := &entryConn{id: e.nextConn, instance: i, state: connOpening, organisation: organisation}
+	c := &entryConn{id: e.nextConn, instance: i, state: connOpening, organisation: organisation, openedAt: e.now}
 	e.conns[c.id] = c
 	i.conns = append(i.conns, c)
 	e.emit(OpenConn{
@@ -300,13 +301,15 @@
 
 // closeIdleConns closes connections that have been idle for connIdleTimeout. It
 // keeps one open, or two while the service is in use. With
-// UpstreamsFromControl, an entry that does not own the service keeps none.
+// UpstreamsFromControl, an entry that does not own the service keeps none. Of
+// connections of organisations it keeps one, for probes, and those that are worth
+// keeping.
 func (e *Entry) closeIdleConns(i *entryInstance) {
 	keep := 1
 	switch {
 	case e.options.UpstreamsFromControl && !e.isOwner(i.service):
 		keep = 0
-	case e.isInUse(i.service):
+	case e.isInUse(i.service) && !i.servesOrganisations():
 		keep = 2
 	}
 	for k := len(i.conns) - 1; k >= 0 && i.openCount() > keep; k-- {
@@ -318,6 +321,10 @@
 			e.scheduleWake(c.idleSince.Add(connIdleTimeout))
 			continue
 		}
+		if e.isWorthKeeping(c) {
+			e.scheduleWake(e.now.Add(connIdleTimeout))
+			continue
+		}
 		e.closeConn(c)
 	}
 }
@@ -333,7 +340,7 @@
 		i.demand[0] = 0
 		i.demandWindowEnd = e.now.Add(demandWindow)
 	}
-	inUse := i.running + i.connShortfall
+	inUse := i.running + i.connShortfall + i.place.unplaced
 	for _, c := range i.conns {
 		if c.state == connHeld {
 			inUse++
@@ -380,7 +387,7 @@
 		return i.equalShare(len(e.options.Peers))
 	}
 	if e.options.UpstreamsFromControl {
-		return min(max(i.recentDemand(), e.minConns(i)), i.service.settings.Limits.Connections)
+		return min(max(i.recentDemand(), e.minConns(i), e.usefulConns(i)), i.service.settings.Limits.Connections)
 	}
 	n := max(i.demand[0], i.demand[1]) + 1
 	if e.isInUse(i.service) {
--- a/node/entry_load.go
+++ b/node/entry_load.go
@@ -54,7 +54,7 @@
 		return 0
 	}
 	n := time.Duration(i.running + i.connShortfall + 1)
-	c := n * max(i.expectedLatency(e.now), minLatency)
+	c := n*max(i.expectedLatency(e.now), minLatency) + e.openingCost(i, r)
 	if !i.inOwnSite {
 		c *= remoteCostFactor
 	}
@@ -74,7 +74,7 @@
 // the load of ordinary days, on which a running statement or two make an upstream
 // look dearer than one elsewhere although it has free slots.
 func (e *Entry) keepsObjectiveLocally(i *entryInstance, r *entryRequest) bool {
-	if !i.inOwnSite || i == r.lastFailed || r.Objective <= 0 {
+	if !i.inOwnSite || i == r.lastFailed || r.Objective <= 0 || e.opensNeedlessly(i, r) {
 		return false
 	}
 	used, slots := i.running+i.connShortfall+1, i.slots()
--- a/node/entry_place.go
+++ b/node/entry_place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/connplace"
@@ -13,48 +14,166 @@
 // connection while those of other organisations are idle. One of these is then
 // closed, and its place is used.
 
+const (
+	// initialOpeningTime is the expected time to open a connection to an upstream
+	// until one was opened.
+	initialOpeningTime = 12 * time.Millisecond
+	// claimDelay is how long a request waits for a connection before it takes the
+	// place of a connection that requests behind it could use. With fewer places
+	// than organisations, a connection then runs several requests before it is
+	// closed. Otherwise upstreams would open connections for most of the time.
+	claimDelay = 40 * time.Millisecond
+)
+
 // connsPlace is the state of an upstream's connections that concerns
 // organisations.
 type connsPlace struct {
-	// lacking are the organisations of the requests that found no connection in
-	// this step, in the order of the requests.
+	// lacking are the organisations of the requests that connShortfall counts, in
+	// the order of the requests.
 	lacking []catalog.OrganisationID
-	uses    connplace.Uses
+	// unplaced is the number of requests that lacked a connection in this step
+	// while none could be opened, because all that are allowed are in use.
+	unplaced int
+	uses     connplace.Uses
+	// openingTime is the moving average of the time that opening a connection
+	// takes, zero if none was opened yet.
+	openingTime time.Duration
+}
+
+func (p *connsPlace) recordOpening(d time.Duration) {
+	if p.openingTime == 0 {
+		p.openingTime = d
+	}
+	p.openingTime += (d - p.openingTime) / 4
+}
+
+func (p *connsPlace) expectedOpeningTime() time.Duration {
+	if p.openingTime == 0 {
+		return initialOpeningTime
+	}
+	return p.openingTime
+}
+
+// resetShortfall prepares the counts of requests without connection for a step.
+func (i *entryInstance) resetShortfall() {
+	i.connShortfall, i.place.lacking, i.place.unplaced = 0, i.place.lacking[:0], 0
 }
 
 // servesOrganisations reports whether the upstream has connections of
 // organisations or requests that lack one.
 func (i *entryInstance) servesOrganisations() bool {
-	for _, id := range i.place.lacking {
-		if id != "" {
-			return true
-		}
-	}
 	for _, c := range i.conns {
 		if c.organisation != "" {
 			return true
 		}
 	}
-	return false
+	return i.place.unplaced > 0 || slices.ContainsFunc(i.place.lacking, func(id catalog.OrganisationID) bool { return id != "" })
+}
+
+// isIdleFor reports whether a request of the organisation may run on the
+// connection now.
+func (c *entryConn) isIdleFor(id catalog.OrganisationID) bool {
+	return c.state == connIdle && !c.closeWhenFree && c.organisation == id
+}
+
+func (i *entryInstance) hasIdleFor(id catalog.OrganisationID) bool {
+	return slices.ContainsFunc(i.conns, func(c *entryConn) bool { return c.isIdleFor(id) })
+}
+
+// recordUse records that a request starts on a connection of an organisation.
+func (i *entryInstance) recordUse(c *entryConn, now catalog.Instant) {
+	c.wasUsed = true
+	i.place.uses.Record(c.organisation, now)
+}
+
+// claimedSlots returns how many slots of the upstream requests without connection
+// have claimed ahead of a request. A request that has a connection only yields to
+// connections that are being opened, so that it doesn't wait for other
+// organisations' connections one after the other.
+func (i *entryInstance) claimedSlots(r *entryRequest) int {
+	if i.connShortfall == 0 || r.Organisation == "" || !i.hasIdleFor(r.Organisation) {
+		return i.connShortfall
+	}
+	return min(i.connShortfall, i.openingCount())
 }
 
-// recordLack counts a request that found no connection in this step.
-func (i *entryInstance) recordLack(r *entryRequest) {
+// recordLack counts a request that found no connection in this step. A request of
+// an organisation is counted at one upstream only, so that one connection is opened
+// for it, and at none if no connection can be opened.
+func (e *Entry) recordLack(i *entryInstance, r *entryRequest) {
+	if r.Organisation == "" && !i.servesOrganisations() {
+		i.connShortfall++
+		i.place.lacking = append(i.place.lacking, "")
+		return
+	}
+	if r.lackedStep == e.steps {
+		return
+	}
+	if !e.claimPlace(i, r) {
+		i.place.unplaced++
+		return
+	}
+	r.lackedAt, r.lackedStep = i, e.steps
 	i.connShortfall++
 	i.place.lacking = append(i.place.lacking, r.Organisation)
 }
 
+// claimPlace reports whether a connection can be opened for a request now or is
+// being opened. If the request has waited for claimDelay, claimPlace closes an idle
+// connection where that is needed, before a request behind it uses that connection.
+func (e *Entry) claimPlace(i *entryInstance, r *entryRequest) bool {
+	i.place.lacking = append(i.place.lacking, r.Organisation)
+	missing := i.missingOrganisations()
+	candidates := e.idleCandidates(i)
+	i.place.lacking = i.place.lacking[:len(i.place.lacking)-1]
+	over := len(missing) - (e.connLimit(i, e.now) - i.openCount())
+	if len(missing) == 0 || missing[len(missing)-1] != r.Organisation || over <= 0 {
+		return true
+	}
+	if over > len(candidates) {
+		return false
+	}
+	if e.now.Sub(r.queuedAt) < claimDelay {
+		e.scheduleWake(r.queuedAt.Add(claimDelay))
+		return true
+	}
+	if !slices.ContainsFunc(i.service.instances, func(x *entryInstance) bool { return x.hasIdleFor(r.Organisation) }) {
+		e.closeLeastUsed(i, candidates, over)
+	}
+	return true
+}
+
+// dropLack removes a read that was started elsewhere from the requests that lack a
+// connection to another upstream, unless its organisation is likely to use a
+// connection there often.
+func (e *Entry) dropLack(r *entryRequest) {
+	i := r.lackedAt
+	if i == nil || r.lackedStep != e.steps {
+		return
+	}
+	r.lackedAt = nil
+	rate := 0.0
+	for _, x := range r.service.instances {
+		rate += x.place.uses.Rate(r.Organisation, e.now)
+	}
+	if rate >= connplace.MinUse {
+		return
+	}
+	if n := slices.Index(i.place.lacking, r.Organisation); n >= 0 {
+		i.place.lacking = slices.Delete(i.place.lacking, n, n+1)
+		i.connShortfall--
+	}
+}
+
 // missingOrganisations returns the organisations for which connections must be
 // opened: those of the requests that lack one, without those for which one is
 // opening or will be idle soon.
 func (i *entryInstance) missingOrganisations() []catalog.OrganisationID {
 	coming := map[catalog.OrganisationID]int{}
 	for _, c := range i.conns {
-		switch c.state {
-		case connOpening, connIdle, connProbing:
-			if !c.closeWhenFree {
-				coming[c.organisation]++
-			}
+		isComing := c.state == connOpening || c.state == connIdle || c.state == connProbing
+		if isComing && !c.closeWhenFree {
+			coming[c.organisation]++
 		}
 	}
 	var out []catalog.OrganisationID
@@ -67,32 +186,33 @@
 }
 
 // openForOrganisations opens the connections that requests of organisations lack,
-// and spare ones for probes. If the grant leaves no place for one, it closes the
-// idle connection with the lowest expected use, and opens the other once that one
-// is gone.
+// and one for probes if there is a place. If the grant leaves no place for a
+// request, it closes the idle connection with the lowest expected use, and opens
+// the other once that one is gone.
 func (e *Entry) openForOrganisations(i *entryInstance) {
 	missing := i.missingOrganisations()
-	for spare := e.targetConns(i) - i.openCount() - len(missing); spare > 0; spare-- {
-		missing = append(missing, "")
+	room := max(e.connLimit(i, e.now)-len(i.conns), 0)
+	closing := len(i.conns) - i.openCount()
+	if i.place.unplaced > 0 || len(missing) > room+closing {
+		e.report.urgent = e.report.urgent || e.neededConns(i) > i.neededAtReport
 	}
-	if len(missing) == 0 {
+	spare := min(e.targetConns(i)-i.openCount(), room) - len(missing)
+	if len(missing) == 0 && spare <= 0 {
 		return
 	}
 	if e.now.Before(i.openAfter) && !i.confirmRefusal {
 		e.scheduleWake(i.openAfter)
 		return
 	}
-	if over := len(missing) - e.maxOpening(i) + i.openingCount(); over > 0 {
-		missing = missing[:max(len(missing)-over, 0)]
+	missing = missing[:max(min(len(missing), e.maxOpening(i)-i.openingCount()), 0)]
+	if lacked := len(missing) - room - closing; lacked > 0 {
+		e.closeLeastUsed(i, e.idleCandidates(i), lacked)
 	}
-	i.confirmRefusal = false
-	room := e.connLimit(i, e.now) - len(i.conns)
-	closing := len(i.conns) - i.openCount()
-	if lacked := len(missing) - max(room, 0) - closing; lacked > 0 {
-		e.report.urgent = e.report.urgent || e.neededConns(i) > i.neededAtReport
-		e.closeLeastUsed(i, lacked)
+	if len(missing) == 0 && spare > 0 && i.openingCount() == 0 {
+		missing = []catalog.OrganisationID{""}
 	}
-	for _, id := range missing[:min(len(missing), max(room, 0))] {
+	i.confirmRefusal = false
+	for _, id := range missing[:min(len(missing), room)] {
 		e.openConn(i, id)
 	}
 }
@@ -108,9 +228,9 @@
 	return max(i.slots()/2, 1)
 }
 
-// closeLeastUsed closes up to n idle connections, those with the lowest expected
-// use first. It keeps those of organisations whose requests lack a connection.
-func (e *Entry) closeLeastUsed(i *entryInstance, n int) int {
+// idleCandidates returns the idle connections that may be closed for another
+// organisation: those whose organisations have no request that lacks a connection.
+func (e *Entry) idleCandidates(i *entryInstance) []connplace.Candidate {
 	var list []connplace.Candidate
 	count := map[catalog.OrganisationID]int{}
 	for _, c := range i.conns {
@@ -122,25 +242,83 @@
 			continue
 		}
 		list = append(list, connplace.Candidate{
-			Conn: c.id, Organisation: c.organisation, Nth: count[c.organisation], Reserved: !c.wasUsed, IdleSince: c.idleSince,
+			Conn: c.id, Organisation: c.organisation, Nth: count[c.organisation], IdleSince: c.idleSince,
+			Reserved: c.organisation != "" && !c.wasUsed && e.now.Before(c.idleSince.Add(connReservedTime)),
 		})
 	}
+	return list
+}
+
+// connReservedTime is how long a new connection is the last to be closed, so that
+// the request that it was opened for finds it. Until then its organisation may have
+// no recent use.
+const connReservedTime = time.Second
+
+// closeLeastUsed closes up to n of the idle connections, those with the lowest
+// expected use first.
+func (e *Entry) closeLeastUsed(i *entryInstance, list []connplace.Candidate, n int) {
 	i.place.uses.SortByUse(list, i.service.serviceTime, e.now)
-	closed := list[:max(min(n, len(list)), 0)]
-	for _, x := range closed {
+	for _, x := range list[:max(min(n, len(list)), 0)] {
 		e.closeConn(e.conns[x.Conn])
 	}
-	return len(closed)
 }
 
-// isIdleFor reports whether a request of the organisation may run on the
-// connection now.
-func (c *entryConn) isIdleFor(id catalog.OrganisationID) bool {
-	return c.state == connIdle && !c.closeWhenFree && c.organisation == id
+// isWorthKeeping reports whether an idle connection of an organisation is expected
+// to be used often enough to be kept.
+func (e *Entry) isWorthKeeping(c *entryConn) bool {
+	if c.organisation == "" {
+		return false
+	}
+	nth := 0
+	for _, x := range c.instance.conns {
+		if x.organisation == c.organisation && x.state != connClosing && x.id <= c.id {
+			nth++
+		}
+	}
+	return c.instance.place.uses.ExpectedUse(c.organisation, nth, c.instance.service.serviceTime, e.now) >= connplace.MinUse
 }
 
-// recordUse records that a request starts on a connection of an organisation.
-func (i *entryInstance) recordUse(c *entryConn, now catalog.Instant) {
-	c.wasUsed = true
-	i.place.uses.Record(c.organisation, now)
+// usefulConns returns how many connections requests of organisations need now or
+// are worth keeping for them, and zero if there are none of organisations.
+func (e *Entry) usefulConns(i *entryInstance) int {
+	if !i.servesOrganisations() {
+		return 0
+	}
+	inUse := map[catalog.OrganisationID]int{}
+	for _, c := range i.conns {
+		if c.state == connBusy || c.state == connHeld {
+			inUse[c.organisation]++
+		}
+	}
+	for _, id := range i.place.lacking {
+		inUse[id]++
+	}
+	most := i.service.settings.Limits.Connections
+	return i.place.uses.Wanted(inUse, most, i.service.serviceTime, e.now) + i.place.unplaced
+}
+
+// openingCost returns the time until a request of an organisation would have a
+// connection to the upstream.
+func (e *Entry) openingCost(i *entryInstance, r *entryRequest) time.Duration {
+	if r.Organisation == "" || i.hasIdleFor(r.Organisation) {
+		return 0
+	}
+	cost := i.place.expectedOpeningTime()
+	for _, c := range i.conns {
+		if c.state == connOpening && c.organisation == r.Organisation {
+			cost = min(cost, max(i.place.expectedOpeningTime()-e.now.Sub(c.openedAt), 0))
+		}
+	}
+	return cost
+}
+
+// opensNeedlessly reports whether a read needs a new connection at this upstream
+// while a replica of the entry's site has an idle connection for it.
+func (e *Entry) opensNeedlessly(i *entryInstance, r *entryRequest) bool {
+	if r.Organisation == "" || i.hasIdleFor(r.Organisation) {
+		return false
+	}
+	return slices.ContainsFunc(i.service.instances, func(x *entryInstance) bool {
+		return x != i && x.id != i.service.primary.Instance && x.inOwnSite && x != r.lastFailed && x.hasIdleFor(r.Organisation) && e.isUsable(x) && !e.isFailing(x)
+	})
 }
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -161,14 +161,14 @@
 	return true
 }
 
-// hasSlot reports whether the upstream may run one more request of a class.
-// Browsing leaves one slot free for bookings.
-func (e *Entry) hasSlot(i *entryInstance, class Class) bool {
+// hasSlot reports whether the upstream may run one more request. Browsing leaves
+// one slot free for bookings.
+func (e *Entry) hasSlot(i *entryInstance, r *entryRequest) bool {
 	n := e.concurrencyLimit(i)
-	if class == ClassBrowse && n > 1 {
+	if r.Class == ClassBrowse && n > 1 {
 		n--
 	}
-	return i.running+i.connShortfall < n
+	return i.running+i.claimedSlots(r) < n
 }
 
 // siteConcurrencyFactor is the number of statements per slot that the entries of
@@ -184,7 +184,8 @@
 func (e *Entry) concurrencyLimit(i *entryInstance) int {
 	if e.options.UpstreamsFromControl {
 		owners := max(min(e.ownerCount(i.service), len(e.owners.entries)), 1)
-		return max((siteConcurrencyFactor*i.slots()+owners-1)/owners, 1)
+		even := max((siteConcurrencyFactor*i.slots()+owners-1)/owners, 1)
+		return max(even, e.organisationsPart(i.service, siteConcurrencyFactor*i.slots()))
 	}
 	return max(1, int(i.adaptiveLimit))
 }
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -154,7 +154,7 @@
 }
 
 func (e *Entry) startRead(r *entryRequest, i *entryInstance, verify bool) bool {
-	if !e.hasSlot(i, r.Class) {
+	if !e.hasSlot(i, r) {
 		return false
 	}
 	c := e.pickConn(i, r)
@@ -163,6 +163,7 @@
 	}
 	r.verifyFirst = verify
 	e.startRequest(r, c)
+	e.dropLack(r)
 	return true
 }
 
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -232,16 +232,16 @@
 // connections held.
 func sameDemands(x, y []wire.Demand) bool {
 	return slices.EqualFunc(x, y, func(a, b wire.Demand) bool {
-		return a.Instance == b.Instance && a.Service == b.Service && a.Desired == b.Desired && a.Idle == b.Idle
+		return a.Instance == b.Instance && a.Service == b.Service && a.Desired == b.Desired && a.Idle == b.Idle && a.Kept == b.Kept
 	})
 }
 
-// lacksGrant reports whether the entry demands more connections to any upstream
-// in use than may be open there now.
+// lacksGrant reports whether the entry needs more connections to any upstream in
+// use than may be open there now.
 func (e *Entry) lacksGrant(demands []wire.Demand) bool {
 	return slices.ContainsFunc(demands, func(d wire.Demand) bool {
 		i := e.services[d.Service].instance(d.Instance)
-		return i != nil && !d.Idle && d.Desired > e.connLimit(i, e.now)
+		return i != nil && !d.Idle && d.Desired-d.Kept > e.connLimit(i, e.now)
 	})
 }
 
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -105,6 +105,8 @@
 	// owners are the entries of the site ranked for the service. The first ones
 	// own it.
 	owners []catalog.VMID
+	// part is this entry's part of the work of organisations.
+	part ownerPart
 	// isObserved is set if this entry is one of the service's observers.
 	isObserved bool
 	// isSubscribed is set while the entry observes the service or has callers
@@ -266,6 +268,7 @@
 	// requests without organisation and for probes. Invariant: the connection
 	// runs no request of another organisation.
 	organisation catalog.OrganisationID
+	openedAt     catalog.Instant
 	// wasUsed is set once a request has run on the connection.
 	wasUsed bool
 	state   connState
@@ -323,6 +326,10 @@
 	forwardedTo  catalog.VMID
 	forwardCount int
 	runsLocally  bool
+	// lackedAt is the upstream at which the request lacked a connection in the
+	// step lackedStep.
+	lackedAt   *entryInstance
+	lackedStep uint64
 	// lastFailed is the upstream where the last attempt failed.
 	lastFailed *entryInstance
 	// reachedPosition is the position that a majority must reach before the
--- a/node/entry_subscribe.go
+++ b/node/entry_subscribe.go
@@ -104,9 +104,13 @@
 	desired, held := e.desiredConns(i), len(i.conns)
 	i.neededAtReport = e.neededConns(i)
 	if max(desired, held) > i.localShare() {
-		m.Demands = append(m.Demands, wire.Demand{
+		d := wire.Demand{
 			Service: i.service.id, Instance: i.id, Held: held, Desired: desired,
 			Idle: e.options.UpstreamsFromControl && i.recentDemand() == 0,
-		})
+		}
+		if e.options.UpstreamsFromControl && i.servesOrganisations() {
+			d.Kept = max(desired-i.recentDemand(), 0)
+		}
+		m.Demands = append(m.Demands, d)
 	}
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -74,6 +74,10 @@
 	// Idle is true if no request currently uses the connections. Entries that
 	// lack connections then take precedence.
 	Idle bool `cbor:"5,keyasint,omitempty"`
+	// Kept is how many of the desired connections no request currently needs.
+	// They are worth keeping for the organisations that use them often. Entries
+	// that need connections take precedence.
+	Kept int `cbor:"6,keyasint,omitempty"`
 }
 
 // Report is the state that an entry periodically sends to control. The answer
