node: run one statement per slot and site for organisations

With two statements per slot and site, those of all sites wait at a saturated upstream and hold their connections meanwhile. Connections of organisations with many requests were then closed for others, and openings waited at the upstream as well.

Where there are organisations, a site runs one statement per slot. Their requests are spread over the owners whichever entry has the callers, so one entry need not fill the slots alone.

go test ./node ./connplace and make lint pass.

--- a/node/entry_owner_organisation.go
+++ b/node/entry_owner_organisation.go
@@ -17,6 +17,13 @@
 // organisation, its network link would limit them.
 const ratePerOwner = 25
 
+// organisationConcurrencyFactor replaces siteConcurrencyFactor where there are
+// organisations. While a statement waits at a saturated upstream, its connection
+// can't run another one and its place is not free for another organisation, and
+// opening a connection waits there too. The requests of one entry's callers go to
+// all owners, so a site fills an upstream's slots with one statement for each.
+const organisationConcurrencyFactor = 1
+
 // ownerFor returns the owner that runs the requests of an organisation, or an
 // empty id if there are no owners. The requests of an organisation meet at one
 // owner, so that a site needs few connections for it. Those of an organisation
--- a/node/entry_place_test.go
+++ b/node/entry_place_test.go
@@ -57,6 +57,41 @@
 	})
 }
 
+// TestPlacesWithAnnouncements guards against the same faults at an entry that learns
+// of upstreams from their announcements and reserves connections for probes.
+func TestPlacesWithAnnouncements(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := randomWorld(t, func(*Entry) {})
+		for n := range rapid.IntRange(1, 20).Draw(t, "requests") {
+			w.submit(RequestArrived{
+				Request: catalog.RequestID(n + 1000), Service: "orders", Kind: rapid.SampledFrom([]RequestKind{KindRead, KindWrite}).Draw(t, "kind"),
+				Organisation: catalog.OrganisationID(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "organisation")), Deadline: w.now.Add(time.Second),
+			})
+			for range rapid.IntRange(0, 10).Draw(t, "wait") {
+				w.advance(5 * time.Millisecond)
+				for _, c := range w.entry.conns {
+					if c.request != nil && c.organisation != c.request.Organisation {
+						t.Fatalf("a request of %q runs on a connection of %q", c.request.Organisation, c.organisation)
+					}
+				}
+			}
+		}
+		for _, id := range w.instanceIDs() {
+			w.upstreams[id].held = false
+			w.playDown(w.upstreams[id], true)
+		}
+		w.advance(3 * time.Second)
+		for id := range w.requests {
+			if _, ok := w.answers[id]; !ok {
+				w.addViolation("request %d was never answered", id)
+			}
+		}
+		if len(w.violations) > 0 {
+			t.Fatal(w.violations)
+		}
+	})
+}
+
 // TestManyOrganisationsInFewPlaces guards against organisations that are not served
 // because the places are taken by others, and against an owner that opens a
 // connection for most requests, so that the upstream has no slots for statements.
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -184,8 +184,11 @@
 func (e *Entry) concurrencyLimit(i *entryInstance) int {
 	if e.options.UpstreamsFromControl {
 		owners := max(min(e.ownerCount(i.service), len(e.owners.entries)), 1)
-		even := max((siteConcurrencyFactor*i.slots()+owners-1)/owners, 1)
-		return max(even, e.organisationsPart(i.service, siteConcurrencyFactor*i.slots()))
+		limit := siteConcurrencyFactor * i.slots()
+		if e.organisations != nil {
+			limit = organisationConcurrencyFactor * i.slots()
+		}
+		return max((limit+owners-1)/owners, e.organisationsPart(i.service, limit), 1)
 	}
 	return max(1, int(i.adaptiveLimit))
 }
