node: leave half of the connections free while they are only kept

An upstream counts the connections of a VM that lost power for seconds. With nearly all of its connections open, entries could not connect again before that.

--- a/node/control_grant_use.go
+++ b/node/control_grant_use.go
@@ -16,6 +16,12 @@
 // reclaims no more than another entry needs. This answers the load of 73 or more
 // organisations with 54 connections per upstream for 12 to 20 owners.
 
+// keptDivisor divides an upstream's connections; the result is how many of them are
+// open at the most while requests need fewer. An upstream counts the connections of
+// a VM that lost power for seconds after the loss. If all connections were open, the
+// entries could connect again only after that time.
+const keptDivisor = 2
+
 // hasKept reports whether an entry keeps connections of organisations to the
 // upstream.
 func (c *Control) hasKept(id catalog.InstanceID) bool {
@@ -40,7 +46,7 @@
 		}
 	}
 	need := min(d.Desired-d.Kept, fairShare(grantable, slices.Clone(needed)))
-	rest := grantable
+	rest := grantable / keptDivisor
 	for _, n := range needed {
 		rest -= n
 	}
