fairqueue, node: share scarce upstreams between organisations

Requests of a class waited in the order of arrival, so an organisation that sends several times its usual load displaced the requests of the others. Where there are organisations, requests now wait in the order of start-time fair queueing tags; the weight is the configured rate. The cost of requests that are not started is given back, also if later ones wait; otherwise an organisation with many refusals would get ever later tags.

The virtual time is bounded by the lowest tag that waits, since classes and missed objectives let requests start out of order. The cost per database is measured apart from the baselines, which follow the waiting at a saturated upstream and charged short statements too much.

With the queue full, the request with the highest tag of all classes is refused. Under overload a request that would miss its objective behind those ahead is refused when it arrives. The retry time covers the organisation's own queue at its share.

--- /dev/null
+++ b/fairqueue/fairqueue.go
@@ -0,0 +1,163 @@
+// Package fairqueue assigns the tags of start-time fair queueing. Requests of
+// several flows that wait for one resource start in the order of their tags, so
+// that each flow gets a share of the resource by its weight and the share that a
+// flow leaves unused goes to the others.
+package fairqueue
+
+// minSweep is the number of flows from which idle flows are dropped.
+const minSweep = 64
+
+// Tag is the place of a request in virtual time. Requests start in the ascending
+// order of Start; Length is the cost of the request divided by the weight of its
+// flow.
+type Tag struct {
+	Start, Length float64
+}
+
+// Request is what the tag of a request depends on.
+type Request struct {
+	// Cost is how much of the resource the request is expected to take. It must not
+	// be negative.
+	Cost float64
+	// Weight is the weight of the flow, which must be positive.
+	Weight float64
+	// Allowance is the cost by which the flow may run ahead of its share before its
+	// requests start behind those of others. Without it, a flow with a low weight
+	// would wait long for the second of two requests in a row.
+	Allowance float64
+}
+
+// Clock holds the virtual time of a resource and the flows that use it. The zero
+// value is ready for use. The number of flows held is at most twice the number of
+// those that wait or whose finish tag lies ahead of the virtual time, plus a
+// constant.
+type Clock[K comparable] struct {
+	// virtual never decreases.
+	virtual float64
+	// started is the highest start tag of a request that was started.
+	started float64
+	flows   map[K]flow
+	// sweepAt is the number of flows at which idle flows are dropped next.
+	sweepAt int
+	// active counts the flows with waiting requests, and activeWeight is the sum of
+	// their weights.
+	active       int
+	activeWeight float64
+}
+
+// flow is the state of one flow.
+type flow struct {
+	// finish is the virtual time at which the flow has used no more than its share,
+	// if all its requests are started that were not withdrawn.
+	finish  float64
+	weight  float64
+	waiting int
+}
+
+// Add returns the tag of a request that begins to wait, and charges its cost to
+// the flow.
+func (c *Clock[K]) Add(key K, r Request) Tag {
+	t := c.Charge(key, r)
+	c.Return(key, r.Weight)
+	return t
+}
+
+// Charge charges a flow for a request that starts without having waited, and
+// returns the request's tag.
+func (c *Clock[K]) Charge(key K, r Request) Tag {
+	f := c.flow(key, r.Weight)
+	t := Tag{Start: max(c.virtual, f.finish-r.Allowance/r.Weight), Length: r.Cost / r.Weight}
+	f.finish = max(c.virtual, f.finish) + t.Length
+	c.flows[key] = f
+	return t
+}
+
+// Return records that a request which was charged before waits again.
+func (c *Clock[K]) Return(key K, weight float64) {
+	f := c.flow(key, weight)
+	if f.waiting++; f.waiting == 1 {
+		c.active++
+		c.activeWeight += f.weight
+	}
+	c.flows[key] = f
+}
+
+// flow returns the state of a flow with the given weight, for which it makes room.
+func (c *Clock[K]) flow(key K, weight float64) flow {
+	f, ok := c.flows[key]
+	if !ok {
+		c.dropIdle()
+	}
+	if f.waiting > 0 {
+		c.activeWeight += weight - f.weight
+	}
+	f.weight = weight
+	return f
+}
+
+// Start records that a waiting request was started.
+func (c *Clock[K]) Start(key K, t Tag) {
+	c.started = max(c.started, t.Start)
+	c.leave(key, 0)
+}
+
+// Withdraw records that a waiting request left without being started. Its cost is
+// given back also if later requests of the flow wait: otherwise a flow most of
+// whose requests are refused would be charged for them, get ever later tags, and
+// have even more of them refused.
+func (c *Clock[K]) Withdraw(key K, t Tag) {
+	c.leave(key, t.Length)
+}
+
+func (c *Clock[K]) leave(key K, refund float64) {
+	f := c.flows[key]
+	if f.waiting == 0 {
+		return
+	}
+	f.finish -= refund
+	if f.waiting--; f.waiting == 0 {
+		c.active--
+		c.activeWeight -= f.weight
+	}
+	if c.active == 0 {
+		// Discards what rounding has left of the sum.
+		c.activeWeight = 0
+	}
+	c.flows[key] = f
+}
+
+// Advance moves the virtual time to the highest tag that was started, but not
+// beyond lowestWaiting, the lowest tag of the waiting requests that may start now.
+// Without that bound, a request that starts out of order, because it is more
+// urgent than others, would move the virtual time past those that wait.
+func (c *Clock[K]) Advance(lowestWaiting float64) {
+	c.virtual = max(c.virtual, min(c.started, lowestWaiting))
+}
+
+// Waiting returns how many requests of a flow wait, and the share of the resource
+// that the flow is entitled to among those that have waiting requests.
+func (c *Clock[K]) Waiting(key K) (n int, share float64) {
+	f := c.flows[key]
+	if f.waiting == 0 {
+		return 0, 1
+	}
+	return f.waiting, min(f.weight/c.activeWeight, 1)
+}
+
+// dropIdle makes room for one more flow. It drops the flows without waiting
+// requests whose finish tag is not ahead of the virtual time, since their next tag
+// does not depend on it.
+func (c *Clock[K]) dropIdle() {
+	if c.flows == nil {
+		c.flows, c.sweepAt = map[K]flow{}, minSweep
+	}
+	if len(c.flows) < c.sweepAt {
+		return
+	}
+	for key, f := range c.flows {
+		if f.waiting == 0 && f.finish <= c.virtual {
+			delete(c.flows, key)
+		}
+	}
+	c.sweepAt = max(2*len(c.flows), minSweep)
+}
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -35,6 +35,7 @@
 		e.placeClass(s, class, true, &p)
 	}
 	e.shedExcess(s)
+	e.advanceVirtualTime(s)
 }
 
 // placeClass places the waiting requests of a class: those that miss their
@@ -46,9 +47,12 @@
 		case e.missesObjective(r) != late:
 			kept = append(kept, r)
 		case late && e.isOverloaded(s):
-			e.refuse(r, "there is more work than can keep its objective", overloadDelay)
+			e.refuse(r, overloadReason, s.retryDelay(r, overloadDelay))
+			r.leaveQueue()
 		case !e.placeRequest(s, r, p):
 			kept = append(kept, r)
+		default:
+			r.leaveQueue()
 		}
 	}
 	s.waiting[class] = kept
@@ -68,6 +72,8 @@
 // backlog of an outage is served in less time.
 const overloadDelay = time.Second
 
+const overloadReason = "there is more work than can keep its objective"
+
 // updateOverload sets overloadedSince, the time since which requests that could
 // meet their objective have been waiting.
 func (e *Entry) updateOverload(s *entryService) {
@@ -97,7 +103,7 @@
 		return true
 	}
 	if !e.now.Before(r.Deadline) {
-		e.refuse(r, "no upstream was free before the deadline", s.serviceTime)
+		e.refuse(r, "no upstream was free before the deadline", s.retryDelay(r, s.serviceTime))
 		return true
 	}
 	if e.mayForward(r) {
@@ -119,24 +125,21 @@
 	return e.placeWrite(s, r, p)
 }
 
-// shedExcess refuses the last requests of the lowest class while more requests
-// wait than the queue limit allows.
+// shedExcess refuses requests while more of them wait than the queue limit allows.
+// It refuses the last one of the lowest class or, where there are organisations,
+// the one of the organisation furthest above its share.
 func (e *Entry) shedExcess(s *entryService) {
 	limit := e.options.QueueLimit
 	if limit == 0 {
 		limit = defaultQueueLimit
 	}
 	for over := s.waitingCount() - limit; over > 0; over-- {
-		for class := len(s.waiting) - 1; class >= 0; class-- {
-			q := s.waiting[class]
-			if len(q) == 0 {
-				continue
-			}
-			r := q[len(q)-1]
-			s.waiting[class] = q[:len(q)-1]
-			e.refuse(r, "too many requests wait for this service", s.estimatedWait(s.waitingCount()))
-			break
-		}
+		class := s.classToShed()
+		q := s.waiting[class]
+		r := q[len(q)-1]
+		s.waiting[class] = q[:len(q)-1]
+		e.refuse(r, "too many requests wait for this service", s.retryDelay(r, s.estimatedWait(s.waitingCount())))
+		r.leaveQueue()
 	}
 }
 
@@ -222,9 +225,8 @@
 }
 
 func (e *Entry) requeue(r *entryRequest) {
-	s := r.service
 	r.lastFailed, r.queuedAt, r.verifyFirst = r.instance, e.now, false
-	s.waiting[r.Class] = append([]*entryRequest{r}, s.waiting[r.Class]...)
+	e.enqueueAgain(r)
 }
 
 // isUsable reports whether new work may start at the upstream now.
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -29,7 +29,7 @@
 	e.increment("requests")
 	if e.mayForward(r) && (e.isAwaitingOwners() || e.forward(s, r)) {
 		if r.forwardedTo == "" {
-			s.waiting[r.Class] = append(s.waiting[r.Class], r)
+			e.enqueue(r)
 		}
 		return
 	}
@@ -42,7 +42,7 @@
 		e.refuse(r, "this entry is stopping", minRetryAfter)
 		return
 	}
-	s.waiting[r.Class] = append(s.waiting[r.Class], r)
+	e.enqueue(r)
 }
 
 // runInTransaction runs a statement of an open transaction on the connection of
@@ -58,6 +58,7 @@
 		e.refuse(r, "the transaction was rolled back: the primary's lease has ended", minRetryAfter)
 		return
 	}
+	e.chargeOrganisation(r)
 	e.startRequest(r, c)
 }
 
@@ -69,6 +70,7 @@
 	s := r.service
 	e.markDirty(s)
 	s.waiting[r.Class] = removeRequest(s.waiting[r.Class], r)
+	r.leaveQueue()
 	s.replicating = removeRequest(s.replicating, r)
 	delete(e.requests, r.Request)
 }
@@ -170,6 +172,7 @@
 		latency := e.now.Sub(r.startedAt)
 		r.service.serviceTime += (latency - r.service.serviceTime) / 8
 		i.recordLatency(latency, e.now)
+		e.recordCost(r, latency)
 		if r.isRead() && r.Database != "" {
 			r.service.baselines.record(r.Database, latency)
 		}
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/fairqueue"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -79,6 +80,12 @@
 	// instances are sorted by id.
 	instances []*entryInstance
 	waiting   [ClassCount][]*entryRequest
+	// costs holds, by database, the time that a request occupies a slot. It is nil
+	// without organisations.
+	costs map[string]time.Duration
+	// clock orders the waiting requests where there are organisations. It is nil
+	// until the first such request waits.
+	clock *organisationClock
 	// replicating are the writes, and the reads at the primary, whose answers
 	// wait for a majority.
 	replicating []*entryRequest
@@ -322,6 +329,11 @@
 	// request is answered, and doneAt is when the upstream's answer arrived.
 	reachedPosition catalog.Position
 	doneAt          catalog.Instant
+	// tag is the request's place among those of all organisations. hasTag is set
+	// once the request was charged to its organisation, and waitsByTag while it
+	// waits in the order of tags.
+	tag                fairqueue.Tag
+	hasTag, waitsByTag bool
 }
 
 func (r *entryRequest) isRead() bool {
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -35,8 +35,12 @@
 // once if it would miss its deadline there. It reports whether it refused the
 // request.
 func (e *Entry) awaitQueue(s *entryService, r *entryRequest, ahead *int) bool {
+	if e.exceedsShare(s, r, *ahead) {
+		e.refuse(r, overloadReason, s.retryDelay(r, overloadDelay))
+		return true
+	}
 	if e.willMissDeadline(r, *ahead) {
-		e.refuse(r, "the queue is too long for the deadline", s.estimatedWait(*ahead))
+		e.refuse(r, "the queue is too long for the deadline", s.retryDelay(r, s.estimatedWait(*ahead)))
 		return true
 	}
 	*ahead++
--- a/node/entry_yield.go
+++ b/node/entry_yield.go
@@ -102,7 +102,9 @@
 		known[r.Database] = true
 	}
 	for _, s := range e.services {
-		maps.DeleteFunc(s.baselines.latencies, func(database string, _ time.Duration) bool { return !known[database] })
+		isUnrouted := func(database string, _ time.Duration) bool { return !known[database] }
+		maps.DeleteFunc(s.baselines.latencies, isUnrouted)
+		maps.DeleteFunc(s.costs, isUnrouted)
 	}
 }
 
