--- a/node/entry_fair_test.go
+++ b/node/entry_fair_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/organisation"
 )
 
 // fairCaller describes the callers of one organisation.
@@ -243,6 +245,28 @@
 	})
 }
 
+// TestQueueEmptiesWithOrganisations guards, with random events, against requests
+// that leave the queue without leaving the count of their organisation, which then
+// counts as waiting for ever and gets a part of each share.
+func TestQueueEmptiesWithOrganisations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := randomWorld(t, func(e *Entry) { e.organisations = organisation.New(nil) })
+		for _, id := range w.instanceIDs() {
+			w.upstreams[id].held = false
+			w.playDown(w.upstreams[id], true)
+		}
+		w.advance(3 * time.Second)
+		for id, s := range w.entry.services {
+			if s.clock != nil && s.clock.Active() > 0 {
+				t.Fatalf("%d organisations seem to wait for %s, where %d requests wait", s.clock.Active(), id, s.waitingCount())
+			}
+		}
+		if len(w.violations) > 0 {
+			t.Fatal(w.violations)
+		}
+	})
+}
+
 // TestRefusalsWithinQueueLimit guards against a queue limit that refuses the last
 // request to arrive where another organisation has filled the queue.
 func TestRefusalsWithinQueueLimit(t *testing.T) {
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -41,8 +41,10 @@
 	for class := range s.waiting {
 		e.placeClass(s, class, stageWithinShare, &p)
 	}
-	for class := range s.waiting {
-		e.placeClass(s, class, stageAboveShare, &p)
+	if s.clock != nil {
+		for class := range s.waiting {
+			e.placeClass(s, class, stageAboveShare, &p)
+		}
 	}
 	e.updateOverload(s)
 	for class := range s.waiting {
