report: add up decisions by organisation

The log lines of requests name the organisation, but the report could not add up by it. Requests refused before their service is known, such as those with an unknown key, were in no column and now count as not run.

--- a/commands/report.go
+++ b/commands/report.go
@@ -22,7 +22,7 @@
 type reportCommand struct {
 	cli    *CLI
 	Window time.Duration `long:"window" default:"2s" description:"length of a window"`
-	By     report.Key    `long:"by" default:"service" choice:"service" choice:"site" choice:"vm" choice:"database" choice:"upstream" description:"what the rows are about"`
+	By     report.Key    `long:"by" default:"service" choice:"service" choice:"site" choice:"vm" choice:"database" choice:"upstream" choice:"organisation" description:"what the rows are about"`
 	CSV    bool          `long:"csv" description:"print the rows as CSV"`
 	Args   struct {
 		Files []string `positional-arg-name:"FILE" description:"logs of entries; standard input if left out"`
--- a/report/line.go
+++ b/report/line.go
@@ -11,7 +11,6 @@
 const (
 	decisionPart   = "request"
 	verdictDone    = "done"
-	verdictNot     = "not-run"
 	verdictUnknown = "unknown"
 )
 
@@ -26,8 +25,10 @@
 	Service  string    `json:"service"`
 	Database string    `json:"database"`
 	Instance string    `json:"instance"`
-	Verdict  string    `json:"verdict"`
-	Cause    string    `json:"cause"`
+	// Organisation is empty if the caller belongs to none.
+	Organisation string `json:"organisation"`
+	Verdict      string `json:"verdict"`
+	Cause        string `json:"cause"`
 	// TookMicroseconds counts from the arrival of the request to its end,
 	// WaitedMicroseconds from its arrival to its last run.
 	TookMicroseconds   int64 `json:"took-us"`
--- a/report/report.go
+++ b/report/report.go
@@ -28,15 +28,16 @@
 
 // Keys of reports.
 const (
-	ByService  Key = "service"
-	BySite     Key = "site"
-	ByVM       Key = "vm"
-	ByDatabase Key = "database"
-	ByUpstream Key = "upstream"
+	ByService      Key = "service"
+	BySite         Key = "site"
+	ByVM           Key = "vm"
+	ByDatabase     Key = "database"
+	ByUpstream     Key = "upstream"
+	ByOrganisation Key = "organisation"
 )
 
 // Keys are all keys, in the order in which they are documented.
-var Keys = []Key{ByService, BySite, ByVM, ByDatabase, ByUpstream}
+var Keys = []Key{ByService, BySite, ByVM, ByDatabase, ByUpstream, ByOrganisation}
 
 func (k Key) valueOf(l Line) string {
 	switch k {
@@ -48,6 +49,8 @@
 		return l.Database
 	case ByUpstream:
 		return l.Instance
+	case ByOrganisation:
+		return l.Organisation
 	default:
 		return l.Service
 	}
@@ -211,10 +214,12 @@
 		c.done++
 		record(c.waits, l.WaitedMicroseconds)
 		record(c.latencies, l.TookMicroseconds)
-	case verdictNot:
-		c.notRun++
 	case verdictUnknown:
 		c.unknown++
+	default:
+		// Besides not-run, the verdicts of requests that were refused before their
+		// service was known, such as unknown-key.
+		c.notRun++
 	}
 }
 
