commands, node: list organisations without their keys

Operators could see organisations only in the document of the configuration, which contains the keys. The new question is answered with the number of keys alone.

--- a/commands/cli.go
+++ b/commands/cli.go
@@ -171,5 +171,5 @@
 
 // isChange reports whether a command may change the state of the system.
 func isChange(c node.Command) bool {
-	return c.Status == nil && c.History == nil && c.Settings == nil
+	return !c.IsQuery()
 }
--- a/node/command.go
+++ b/node/command.go
@@ -27,12 +27,14 @@
 	Status   *StatusQuery    `json:"status,omitempty"`
 	History  *HistoryQuery   `json:"history,omitempty"`
 	Settings *SettingsQuery  `json:"settings,omitempty"`
+
+	Organisations *OrganisationsQuery `json:"organisations,omitempty"`
 }
 
 // IsQuery reports whether the command only reads state.
 func (c Command) IsQuery() bool {
-	isQuery := c.Status != nil || c.History != nil || c.Settings != nil
-	c.Status, c.History, c.Settings = nil, nil, nil
+	isQuery := c.Status != nil || c.History != nil || c.Settings != nil || c.Organisations != nil
+	c.Status, c.History, c.Settings, c.Organisations = nil, nil, nil, nil
 	return isQuery && c == Command{}
 }
 
@@ -105,6 +107,9 @@
 // SettingsQuery reads the configuration in force.
 type SettingsQuery struct{}
 
+// OrganisationsQuery reads the organisations in force, without their keys.
+type OrganisationsQuery struct{}
+
 // ReplyCode says how a command ended.
 type ReplyCode string
 
@@ -136,6 +141,8 @@
 	History  []Change          `json:"history,omitempty"`
 	Services []catalog.Service `json:"services,omitempty"`
 	Routes   []catalog.Route   `json:"routes,omitempty"`
+	// Organisations are sorted by id.
+	Organisations []OrganisationStatus `json:"organisations,omitempty"`
 	// Document is the configuration as the operator wrote it, for a
 	// SettingsQuery.
 	Document []byte `json:"document,omitempty"`
@@ -193,6 +200,18 @@
 	ReportAge time.Duration `json:"seen"`
 }
 
+// OrganisationStatus describes one organisation. It holds no key or digest.
+type OrganisationStatus struct {
+	ID catalog.OrganisationID `json:"id"`
+	// Keys is the number of keys.
+	Keys     int `json:"keys"`
+	Priority int `json:"priority"`
+	// Rate and Burst are the limit, in operations per second and operations. A
+	// Rate of zero means no limit.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+}
+
 // UpstreamStatus describes one upstream.
 type UpstreamStatus struct {
 	Announcement catalog.Announcement `json:"announcement"`
--- a/node/control_distribution_test.go
+++ b/node/control_distribution_test.go
@@ -139,6 +139,23 @@
 	})
 }
 
+// TestOrganisationsQuery guards against operators' replies that hold keys, their
+// digests or the document that contains the keys.
+func TestOrganisationsQuery(t *testing.T) {
+	Convey("a question for the organisations is answered with the number of their keys alone", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		c := adoptCommand(1, time.Second)
+		c.Adopt.Configuration.KeysRequired = true
+		c.Adopt.Configuration.Organisations = []catalog.Organisation{{ID: "acme", Keys: []catalog.KeyDigest{catalog.DigestKey("k")}, Priority: 1, Rate: 2.5, Burst: 4}}
+		So(w.runCommand(c).Code, ShouldEqual, ReplyOK)
+		query := Command{Organisations: &OrganisationsQuery{}}
+		So(query.IsQuery(), ShouldBeTrue)
+		So(w.runCommand(query), ShouldResemble, Reply{
+			Code: ReplyOK, Version: 1, Organisations: []OrganisationStatus{{ID: "acme", Keys: 1, Priority: 1, Rate: 2.5, Burst: 4}},
+		})
+	})
+}
+
 func TestRetirementSurvivesLeaderChange(t *testing.T) {
 	Convey("an upstream whose retirement was acknowledged gets no new work from the next leader", t, func() {
 		w := newSoloControl(quorum.PersistentState{})
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -27,6 +27,8 @@
 		c.reply(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, History: c.history(cmd.History.Limit)})
 	case cmd.Settings != nil:
 		c.reply(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, Services: c.state.Services, Routes: c.state.Routes, Document: c.state.Document})
+	case cmd.Organisations != nil:
+		c.reply(o.Number, Reply{Code: ReplyOK, Version: c.state.Version, Organisations: c.organisations()})
 	case cmd.Adopt != nil:
 		c.adoptSettings(o.Number, cmd.Adopt.Configuration)
 	case cmd.Announce != nil:
@@ -42,6 +44,15 @@
 	}
 }
 
+// organisations returns the organisations in force, without their keys.
+func (c *Control) organisations() []OrganisationStatus {
+	out := make([]OrganisationStatus, 0, len(c.state.Organisations))
+	for _, o := range c.state.Organisations {
+		out = append(out, OrganisationStatus{ID: o.ID, Keys: len(o.Keys), Priority: o.Priority, Rate: o.Rate, Burst: o.Burst})
+	}
+	return out
+}
+
 // hasQuorumContact reports whether a quorum responded within the last election
 // timeout. Otherwise another VM may lead, and this VM's state may be stale.
 func (c *Control) hasQuorumContact() bool {
