fairqueue: count organisations that ask in vain as users of a service

The share of an organisation was by weight among those that had used the service within seconds. The test plays 85 organisations in place of 40. Tests of node, fairqueue, report, commands and daemon pass.

--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -9,8 +9,14 @@
 // minSweep is the number of flows from which idle flows are dropped.
 const minSweep = 64
 
-// minUse is the use below which a flow counts as unused.
-const minUse = 1e-6
+// A flow counts as in use from its first request, also if none was started: the
+// share of a flow that leaves nothing to others would otherwise be the whole. It
+// counts until its use, which is at least presence then, has decayed to minUse. That
+// takes many half-lives, so that flows with few requests count as well.
+const (
+	presence = 1e-6
+	minUse   = 1e-20
+)
 
 // Tag is the place of a request in virtual time. Requests start in the ascending
 // order of Start; Length is the cost of the request divided by the weight of its
@@ -64,7 +70,8 @@
 	finish  float64
 	weight  float64
 	waiting int
-	// used is the cost of the requests that were started, reduced by its age.
+	// used is the cost of the requests that were started, reduced by its age, and
+	// zero if the flow does not count as in use.
 	used float64
 }
 
@@ -86,10 +93,11 @@
 	f := c.flow(key, r.Weight)
 	t := Tag{Start: max(c.virtual, f.finish-r.Allowance/r.Weight), Length: r.Cost / r.Weight}
 	f.finish = max(c.virtual, f.finish) + t.Length
+	c.use(f, max(presence-f.used, 0))
 	return t
 }
 
-// use records that a request of the given cost was started.
+// use adds a cost to the use of a flow, which then counts as in use.
 func (c *Clock[K]) use(f *flow[K], cost float64) {
 	if f.used == 0 {
 		c.usedWeight += f.weight
--- a/node/entry_fair_test.go
+++ b/node/entry_fair_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -34,18 +32,14 @@
 	// isUnfair removes the organisations from the configuration.
 	isUnfair bool
 
-	*listedEntry
-	slots     upstreamSlots
-	ends      map[catalog.RequestID]catalog.Instant
-	runs      map[catalog.RequestID]RunRequest
-	caller    map[catalog.RequestID]int
-	arrivedAt map[catalog.RequestID]catalog.Instant
+	*loadRunner
+	caller map[catalog.RequestID]int
 	// offered, inTime and refused count the requests of each organisation, and busy
 	// is the time for which they occupied slots. refusalWait is how long those
 	// refused had waited in total.
 	offered, inTime, refused []int
 	busy                     []time.Duration
-	refusalWait, retryAfter  []time.Duration
+	refusalWait              []time.Duration
 }
 
 const (
@@ -58,13 +52,14 @@
 	if p.classOf == nil {
 		p.classOf = func(int, catalog.RequestID) Class { return ClassNormal }
 	}
-	p.listedEntry, p.slots = newListedEntry(), make(upstreamSlots, fairSlots)
-	p.granted = 200
+	p.loadRunner = &loadRunner{
+		listedEntry: newListedEntry(), slots: make(upstreamSlots, fairSlots), next: loadFirstRequest, arrived: map[catalog.RequestID]catalog.Instant{},
+		ends: map[catalog.RequestID]catalog.Instant{}, runs: map[catalog.RequestID]RunRequest{},
+	}
+	p.granted, p.caller = 200, map[catalog.RequestID]int{}
 	p.entry.options.QueueLimit = p.queueLimit
-	p.ends, p.runs = map[catalog.RequestID]catalog.Instant{}, map[catalog.RequestID]RunRequest{}
-	p.caller, p.arrivedAt = map[catalog.RequestID]int{}, map[catalog.RequestID]catalog.Instant{}
 	p.offered, p.inTime, p.refused = make([]int, n), make([]int, n), make([]int, n)
-	p.busy, p.refusalWait, p.retryAfter = make([]time.Duration, n), make([]time.Duration, n), make([]time.Duration, n)
+	p.busy, p.refusalWait = make([]time.Duration, n), make([]time.Duration, n)
 	p.answer.Version, p.answer.KeysRequired = 2, !p.isUnfair
 	for n, c := range p.callers {
 		p.answer.Organisations = append(p.answer.Organisations, catalog.Organisation{ID: organisationOf(n), Rate: c.weight})
@@ -86,7 +81,6 @@
 		random[n] = rand.New(rand.NewPCG(uint64(n), 1))
 		due[n] = p.now.Add(time.Duration(random[n].ExpFloat64() / c.rate * float64(time.Second)))
 	}
-	next := catalog.RequestID(100)
 	for end := p.now.Add(fairSeconds * time.Second); p.now.Before(end); {
 		p.now = p.now.Add(tick)
 		p.finish()
@@ -94,11 +88,11 @@
 		for n, c := range p.callers {
 			for due[n].Before(p.now) {
 				due[n] = due[n].Add(time.Duration(random[n].ExpFloat64() / c.rate * float64(time.Second)))
-				next++
-				p.caller[next], p.arrivedAt[next] = n, p.now
+				p.next++
+				p.caller[p.next], p.arrived[p.next] = n, p.now
 				p.offered[n]++
 				p.step(RequestArrived{
-					Request: next, Service: "orders", Database: c.database, Organisation: organisationOf(n), Kind: KindRead, Class: p.classOf(n, next),
+					Request: p.next, Service: "orders", Database: c.database, Organisation: organisationOf(n), Kind: KindRead, Class: p.classOf(n, p.next),
 					PrimaryOnly: true, Objective: scarceObjective, Deadline: p.now.Add(scarceTimeout),
 				})
 			}
@@ -108,19 +102,6 @@
 	return p
 }
 
-func (p *fairPlay) finish() {
-	for _, id := range slices.Sorted(maps.Keys(p.ends)) {
-		if p.ends[id].After(p.now) {
-			continue
-		}
-		delete(p.ends, id)
-		p.step(RequestDone{
-			Request: id, Conn: p.runs[id].Conn, Outcome: OutcomeCompleted,
-			Position: catalog.Position{Term: 1, Offset: 1}, PositionQueriedAt: p.now, Reusable: true,
-		})
-	}
-}
-
 func (p *fairPlay) collect() {
 	effects := p.effects
 	p.effects = nil
@@ -132,12 +113,11 @@
 			p.runs[v.Request], p.ends[v.Request] = v, p.slots.run(p.now, work)
 			p.busy[n] += work
 		case AnswerRequest:
-			n, took := p.caller[v.Request], p.now.Sub(p.arrivedAt[v.Request])
+			n, took := p.caller[v.Request], p.now.Sub(p.arrived[v.Request])
 			switch {
 			case v.Verdict != VerdictDone:
 				p.refused[n]++
 				p.refusalWait[n] += took
-				p.retryAfter[n] += v.RetryAfter
 			case took <= scarceObjective:
 				p.inTime[n]++
 			}
@@ -173,7 +153,7 @@
 // TestOrganisationThatSendsTooMuch guards against an organisation whose excess
 // displaces the requests of the others, and against refusals of their requests.
 func TestOrganisationThatSendsTooMuch(t *testing.T) {
-	const count, multiple = 40, 7.5
+	const count, multiple = 85, 7.5
 	work := map[string]time.Duration{"shop": 10 * time.Millisecond}
 	capacity := fairSlots / work["shop"].Seconds()
 	// The usual load of which one organisation's excess makes 1/0.6 of the capacity.
