--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -20,40 +20,70 @@
 	waitingForReplica int
 }
 
+// placementStage says which requests are placed together.
+type placementStage int
+
+const (
+	stageWithinShare placementStage = iota
+	stageAboveShare
+	stageLate
+)
+
 // dispatch starts waiting requests, and refuses those that can't meet their
 // deadline or exceed the queue limit. Requests that can still meet their
-// objective go first, the most urgent class first. After an outage all callers
+// objective go first, the most urgent class first. Of these, the requests of
+// organisations above their share come behind the others. After an outage all callers
 // return at once: if they were served in the order of arrival, all of them would
 // be late, and so would those that arrive later.
 func (e *Entry) dispatch(s *entryService) {
 	var p placement
+	e.markAboveShare(s)
 	for class := range s.waiting {
-		e.placeClass(s, class, false, &p)
+		e.placeClass(s, class, stageWithinShare, &p)
+	}
+	if s.clock != nil {
+		for class := range s.waiting {
+			e.placeClass(s, class, stageAboveShare, &p)
+		}
 	}
 	e.updateOverload(s)
 	for class := range s.waiting {
-		e.placeClass(s, class, true, &p)
+		e.placeClass(s, class, stageLate, &p)
 	}
 	e.shedExcess(s)
+	e.advanceVirtualTime(s)
 }
 
-// placeClass places the waiting requests of a class: those that miss their
-// objective if late is set, else the others.
-func (e *Entry) placeClass(s *entryService, class int, late bool, p *placement) {
+// placeClass places the waiting requests of a class that belong to a stage.
+func (e *Entry) placeClass(s *entryService, class int, stage placementStage, p *placement) {
 	kept := s.waiting[class][:0]
 	for _, r := range s.waiting[class] {
 		switch {
-		case e.missesObjective(r) != late:
+		case e.stageOf(r) != stage:
 			kept = append(kept, r)
-		case late && e.isOverloaded(s):
-			e.refuse(r, "there is more work than can keep its objective", overloadDelay)
+		case stage == stageLate && e.isOverloaded(s):
+			e.refuse(r, overloadReason, s.retryDelay(r, overloadDelay))
+			r.leaveQueue()
 		case !e.placeRequest(s, r, p):
 			kept = append(kept, r)
+		default:
+			r.leaveQueue()
 		}
 	}
 	s.waiting[class] = kept
 }
 
+func (e *Entry) stageOf(r *entryRequest) placementStage {
+	switch {
+	case e.missesObjective(r):
+		return stageLate
+	case r.isAboveShare:
+		return stageAboveShare
+	default:
+		return stageWithinShare
+	}
+}
+
 // missesObjective reports whether the request would miss its objective. Half of
 // the objective is reserved for what follows the queue: the transfer of the
 // answer to the caller, and the other statements of the operation. Without this
@@ -68,6 +98,8 @@
 // backlog of an outage is served in less time.
 const overloadDelay = time.Second
 
+const overloadReason = "there is more work than can keep its objective"
+
 // updateOverload sets overloadedSince, the time since which requests that could
 // meet their objective have been waiting.
 func (e *Entry) updateOverload(s *entryService) {
@@ -97,7 +129,7 @@
 		return true
 	}
 	if !e.now.Before(r.Deadline) {
-		e.refuse(r, "no upstream was free before the deadline", s.serviceTime)
+		e.refuse(r, "no upstream was free before the deadline", s.retryDelay(r, s.serviceTime))
 		return true
 	}
 	if e.mayForward(r) {
@@ -119,24 +151,21 @@
 	return e.placeWrite(s, r, p)
 }
 
-// shedExcess refuses the last requests of the lowest class while more requests
-// wait than the queue limit allows.
+// shedExcess refuses requests while more of them wait than the queue limit allows.
+// It refuses the last one of the lowest class or, where there are organisations,
+// the one of the organisation furthest above its share.
 func (e *Entry) shedExcess(s *entryService) {
 	limit := e.options.QueueLimit
 	if limit == 0 {
 		limit = defaultQueueLimit
 	}
 	for over := s.waitingCount() - limit; over > 0; over-- {
-		for class := len(s.waiting) - 1; class >= 0; class-- {
-			q := s.waiting[class]
-			if len(q) == 0 {
-				continue
-			}
-			r := q[len(q)-1]
-			s.waiting[class] = q[:len(q)-1]
-			e.refuse(r, "too many requests wait for this service", s.estimatedWait(s.waitingCount()))
-			break
-		}
+		class := s.classToShed()
+		q := s.waiting[class]
+		r := q[len(q)-1]
+		s.waiting[class] = q[:len(q)-1]
+		e.refuse(r, "too many requests wait for this service", s.retryDelay(r, s.estimatedWait(s.waitingCount())))
+		r.leaveQueue()
 	}
 }
 
@@ -165,7 +194,7 @@
 // one slot free for bookings.
 func (e *Entry) hasSlot(i *entryInstance, r *entryRequest) bool {
 	n := e.concurrencyLimit(i)
-	if r.Class == ClassBrowse && n > 1 {
+	if r.slotClass() == ClassBrowse && n > 1 {
 		n--
 	}
 	return i.running+i.claimedSlots(r) < n
@@ -226,9 +255,8 @@
 }
 
 func (e *Entry) requeue(r *entryRequest) {
-	s := r.service
 	r.lastFailed, r.queuedAt, r.verifyFirst = r.instance, e.now, false
-	s.waiting[r.Class] = append([]*entryRequest{r}, s.waiting[r.Class]...)
+	e.enqueueAgain(r)
 }
 
 // isUsable reports whether new work may start at the upstream now.
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/fairqueue"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -79,6 +80,14 @@
 	// instances are sorted by id.
 	instances []*entryInstance
 	waiting   [ClassCount][]*entryRequest
+	// costs holds, by database, the time that a request occupies a slot. It is nil
+	// without organisations.
+	costs map[string]time.Duration
+	// clock orders the waiting requests where there are organisations. It is nil
+	// until the first such request waits.
+	clock *organisationClock
+	// useDecayedAt is when the use counted by clock was last reduced.
+	useDecayedAt catalog.Instant
 	// replicating are the writes, and the reads at the primary, whose answers
 	// wait for a majority.
 	replicating []*entryRequest
@@ -336,6 +345,14 @@
 	// request is answered, and doneAt is when the upstream's answer arrived.
 	reachedPosition catalog.Position
 	doneAt          catalog.Instant
+	// tag is the request's place among those of all organisations. hasTag is set
+	// once the request was charged to its organisation, and waitsByTag while it
+	// waits in the order of tags.
+	tag                fairqueue.Tag
+	hasTag, waitsByTag bool
+	// isAboveShare is set if the request's organisation had used more than its share
+	// when this step began to place requests.
+	isAboveShare bool
 }
 
 func (r *entryRequest) isRead() bool {
