ratelimit: enforce limits of organisations over all entries

The entry that a caller is connected to admits an operation or refuses it at once; the leader of control adds up the usage that entries report and assigns shares of the limit of an organisation that asks for too much.

--- a/node/control.go
+++ b/node/control.go
@@ -92,6 +92,8 @@
 	initialServicesProposed bool
 	// sites holds the active entries of each site.
 	sites siteLists
+	// limits divides the limits of organisations among the entries.
+	limits controlLimits
 	// revision counts the changes of upstreams. It never decreases while the
 	// process runs, not even when leadership changes.
 	revision uint64
@@ -150,6 +152,7 @@
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
 	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt = 0, 0, 0
+	c.resetLimits()
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -52,6 +52,9 @@
 	sentArrivesAt   catalog.Instant
 	// demands holds the demands of the last report that included them.
 	demands []wire.Demand
+	// entryCount is the number of entries of all sites that the entry knew at
+	// its last report.
+	entryCount int
 }
 
 type leaseView struct {
@@ -184,6 +187,7 @@
 	if anySuspect {
 		c.checkSuspects()
 	}
+	c.recordUsage(from, r)
 	c.sendAnswer(from, v)
 }
 
@@ -253,6 +257,7 @@
 		}
 		a.Grants = c.grantConnections(vm, v, length)
 	}
+	c.addLimitsToAnswer(a, vm)
 	c.emit(SendMessage{To: vm, Message: wire.Message{Answer: a}})
 }
 
@@ -408,6 +413,7 @@
 
 func (c *Control) forgetEntry(vm catalog.VMID, v *entryView) {
 	delete(c.entries, vm)
+	c.limits.allocator.Forget(vm)
 	c.subscribe(vm, v, nil)
 	for id := range v.leases {
 		c.leaseHolders.remove(id, vm)
--- a/node/entry.go
+++ b/node/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/organisation"
+	"github.com/kingcupknot/kingcupknot/ratelimit"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -74,6 +75,7 @@
 	transactionIdle time.Duration
 	// organisations is nil if callers need no key.
 	organisations *organisation.Directory
+	limits        entryLimits
 	// upstreamsMark identifies the newest list of upstreams received from
 	// control.
 	upstreamsMark wire.UpstreamsMark
@@ -166,6 +168,7 @@
 		e.started = true
 		e.report.answeredSentAt = ev.Now
 		e.report.nextAt = ev.Now
+		e.limits.admission = ratelimit.NewAdmission(e.options.Timings.ReportInterval, ev.Now)
 	}
 	if !e.timerAt.After(e.now) {
 		e.timerAt = 0
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -193,6 +193,7 @@
 		}
 	}
 	e.addAnnouncements(m)
+	e.addUsage(m)
 	e.omitKnown(m)
 	return m
 }
@@ -314,6 +315,7 @@
 	for _, g := range a.Grants {
 		e.applyGrant(g, sent)
 	}
+	e.applyLimits(a, sent)
 	e.clearReported(a.Sequence)
 }
 
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -27,6 +27,9 @@
 	e.markDirty(s)
 	s.retryTokens = min(s.retryTokens+retryTokensPerRequest, maxRetryTokens)
 	e.increment("requests")
+	if e.refuseOverLimit(r) {
+		return
+	}
 	if e.mayForward(r) && (e.isAwaitingOwners() || e.forward(s, r)) {
 		if r.forwardedTo == "" {
 			s.waiting[r.Class] = append(s.waiting[r.Class], r)
--- a/wire/message.go
+++ b/wire/message.go
@@ -119,6 +119,9 @@
 	Usage []OrganisationUsage `cbor:"16,keyasint,omitempty"`
 	// Work lists the services for whose upstreams the entry has work.
 	Work []ServiceWork `cbor:"17,keyasint,omitempty"`
+	// EntryCount is the EntryCount of the last answer that had one. It is zero
+	// if there was none or if there are no organisations.
+	EntryCount int `cbor:"18,keyasint,omitempty"`
 }
 
 // UpstreamsMark identifies a revision of one leader's list of upstreams.
@@ -204,6 +207,9 @@
 	// SiteShares are the shares of saturated services that the entry's site
 	// gets, where they differ from an even share.
 	SiteShares []SiteShare `cbor:"26,keyasint,omitempty"`
+	// EntryCount is the number of entries of all sites. It is zero if it is that
+	// of the report or if there are no organisations.
+	EntryCount int `cbor:"27,keyasint,omitempty"`
 }
 
 // OrganisationUsage is the rate at which an organisation's callers asked an entry
@@ -212,6 +218,8 @@
 	Organisation catalog.OrganisationID `cbor:"1,keyasint"`
 	// Rate is in operations per second.
 	Rate float32 `cbor:"2,keyasint"`
+	// Refused is the part of Rate that was refused as over the limit.
+	Refused float32 `cbor:"3,keyasint,omitempty"`
 }
 
 // OrganisationLimit is an entry's share of the limit of an organisation that asks
