--- a/node/control_report.go
+++ b/node/control_report.go
@@ -171,6 +171,7 @@
 	if r.Incarnation != v.incarnation {
 		// What was sent to the entry before its restart does not arrive any more.
 		v.sentArrivesAt, v.upstreamsArriveAt = 0, 0
+		c.limits.allocator.DropShares(from)
 	}
 	v.incarnation, v.sequence, v.reportedAt = r.Incarnation, r.Sequence, c.now
 	v.settingsVersion, v.leaving, v.aliveWithin = r.SettingsVersion, r.Leaving, r.AliveWithin
--- a/ratelimit/admission.go
+++ b/ratelimit/admission.go
@@ -28,7 +28,7 @@
 	// openDepthTime of its rate is added. It lets the random clusters of an entry
 	// with few callers through.
 	openDepth     = 3.0
-	openDepthTime = 500 * time.Millisecond
+	openDepthTime = 250 * time.Millisecond
 	// shareStartTime is the time of its rate that an entry may use at once when it
 	// gets its first share.
 	shareStartTime = time.Second
@@ -116,7 +116,12 @@
 // each run another operation when they are told that the limit is used up.
 func (a *Admission) SetShare(now catalog.Instant, s Share, until catalog.Instant) {
 	o := a.organisations[s.Organisation]
-	if o == nil || until.Before(o.shareUntil) {
+	if o == nil {
+		// The limit is set by the first operation.
+		o = &admitted{open: bucket{at: now}, isolated: bucket{at: now}, thresholdAt: now, usedAt: now}
+		a.organisations[s.Organisation] = o
+	}
+	if until.Before(o.shareUntil) {
 		return
 	}
 	if !now.Before(o.shareUntil) {
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -47,6 +47,9 @@
 	// those that have not reported to this leader.
 	entryCount, unheardCount int
 	changes                  []Change
+	// scarce holds the organisations that are limited and whose limit is so low
+	// that one operation at each entry would exceed it. They are sorted.
+	scarce []*pool
 }
 
 // Change says that the leader begins or ceases to limit an organisation.
@@ -94,7 +97,7 @@
 func (a *Allocator) Report(now catalog.Instant, entry catalog.VMID, usage []Usage, limit func(catalog.OrganisationID) Limit) {
 	u := a.entries[entry]
 	if u == nil {
-		if len(usage) == 0 {
+		if len(usage) == 0 && len(a.scarce) == 0 {
 			return
 		}
 		u = &entryUsage{reportedAt: now.Add(-a.options.ReportInterval)}
@@ -180,7 +183,19 @@
 		p.divide(now, a)
 	}
 	if p.updateLimited(now) {
-		a.changes = append(a.changes, Change{Organisation: p.id, Limited: p.isLimited})
+		a.recordChange(p)
+	}
+}
+
+// recordChange records that an organisation became limited or ceased to be.
+func (a *Allocator) recordChange(p *pool) {
+	a.changes = append(a.changes, Change{Organisation: p.id, Limited: p.isLimited})
+	n, ok := slices.BinarySearchFunc(a.scarce, p.id, func(q *pool, id catalog.OrganisationID) int { return cmp.Compare(q.id, id) })
+	switch {
+	case ok && !p.isLimited:
+		a.scarce = slices.Delete(a.scarce, n, n+1)
+	case !ok && p.isLimited && p.isScarce(a.entryCount):
+		a.scarce = slices.Insert(a.scarce, n, p)
 	}
 }
 
@@ -194,7 +209,8 @@
 		return
 	}
 	if p.isLimited {
-		a.changes = append(a.changes, Change{Organisation: p.id})
+		p.isLimited = false
+		a.recordChange(p)
 	}
 	delete(a.pools, p.id)
 }
@@ -219,6 +235,9 @@
 	if u == nil {
 		return nil
 	}
+	for _, p := range a.scarce {
+		a.record(now, entry, u, p.id, p.limit)
+	}
 	var out []Share
 	for _, r := range u.records {
 		if !r.pool.isLimited {
@@ -229,7 +248,7 @@
 			rate = min(rate, max(r.asked, r.average), r.pool.limit.Rate/float64(a.entryCount))
 		}
 		isChanged := rate < r.share*(1-shareTolerance) || rate > r.share*(1+shareTolerance)
-		if !isChanged && now.Sub(r.sentAt) <= a.options.ShareLength/2 {
+		if r.share > 0 && !isChanged && now.Sub(r.sentAt) <= a.options.ShareLength/2 {
 			continue
 		}
 		r.share, r.sentAt = rate, now
@@ -238,6 +257,15 @@
 	return out
 }
 
+// DropShares records that an entry has lost its shares in a restart.
+func (a *Allocator) DropShares(entry catalog.VMID) {
+	if u := a.entries[entry]; u != nil {
+		for _, r := range u.records {
+			r.share, r.sentAt = 0, 0
+		}
+	}
+}
+
 // Changes returns the organisations that became limited or ceased to be since
 // the last call.
 func (a *Allocator) Changes() []Change {
--- a/ratelimit/pool.go
+++ b/ratelimit/pool.go
@@ -86,6 +86,11 @@
 	return max(p.limit.Rate-p.reserve, minRate*p.limit.Rate)
 }
 
+// isScarce reports whether one operation at each entry would exceed the limit.
+func (p *pool) isScarce(entries int) bool {
+	return float64(entries) > p.depth()+p.limit.Rate/2
+}
+
 func (p *pool) refill(now catalog.Instant) {
 	p.ledger.refill(now, p.rate(), p.depth())
 }
--- a/ratelimit/system_test.go
+++ b/ratelimit/system_test.go
@@ -91,6 +91,7 @@
 }
 
 func (w *system) restart(e *testEntry, down time.Duration) {
+	w.leader.DropShares(e.id)
 	e.downUntil, e.nextAt, e.isStarting = w.now.Add(down), w.now.Add(down), true
 	e.admission = NewAdmission(testInterval, e.downUntil)
 }
