--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -162,6 +162,9 @@
 func (a *Allocator) update(now catalog.Instant, r *record, v Usage, l Limit, elapsed time.Duration) {
 	p := r.pool
 	p.limit = l
+	if l.Rate <= 0 {
+		return
+	}
 	admitted := max(v.Asked-v.Refused, 0)
 	p.refill(now)
 	p.ledger.tokens = max(p.ledger.tokens-admitted*elapsed.Seconds(), -maxDebtTime*l.Rate-slackTokens)
@@ -227,36 +230,6 @@
 	}
 }
 
-// Shares returns the shares that the entry must get with the answer to its last
-// report, and records them as sent: those of limited organisations that have
-// changed or that have run for half of their length.
-func (a *Allocator) Shares(now catalog.Instant, entry catalog.VMID) []Share {
-	u := a.entries[entry]
-	if u == nil {
-		return nil
-	}
-	for _, p := range a.scarce {
-		a.record(now, entry, u, p.id, p.limit)
-	}
-	var out []Share
-	for _, r := range u.records {
-		if !r.pool.isLimited {
-			continue
-		}
-		rate := r.pool.shareOf(r, a.entryCount)
-		if a.isNew(now) {
-			rate = min(rate, max(r.asked, r.average), r.pool.limit.Rate/float64(a.entryCount))
-		}
-		isChanged := rate < r.share*(1-shareTolerance) || rate > r.share*(1+shareTolerance)
-		if r.share > 0 && !isChanged && now.Sub(r.sentAt) <= a.options.ShareLength/2 {
-			continue
-		}
-		r.share, r.sentAt = rate, now
-		out = append(out, Share{Organisation: r.pool.id, Rate: rate, Burst: max(1, rate*shareBurstTime.Seconds())})
-	}
-	return out
-}
-
 // DropShares records that an entry has lost its shares in a restart.
 func (a *Allocator) DropShares(entry catalog.VMID) {
 	if u := a.entries[entry]; u != nil {
--- a/ratelimit/pool.go
+++ b/ratelimit/pool.go
@@ -15,7 +15,7 @@
 	usableRate = 0.95
 	// usableByNewLeader replaces usableRate while the shares of an earlier leader
 	// may be valid. A new leader does not know what exceeded the limit before.
-	usableByNewLeader = 0.85
+	usableByNewLeader = 0.75
 	// limitAbove is the part of the rate that demand must exceed to be limited.
 	limitAbove = 0.9
 	// unreservedRate is the part of the rate up to which entries that do not
@@ -39,11 +39,6 @@
 	// minEvenDemand is the lowest demand that an entry is assumed to have, in
 	// parts of an even share.
 	minEvenDemand = 0.1
-	// shareTolerance is the change of a share that is not sent, relative to the
-	// share.
-	shareTolerance = 0.05
-	// shareBurstTime is the time of its rate that an entry may use at once.
-	shareBurstTime = 250 * time.Millisecond
 	// divideFraction is the part of an organisation's entries, as its reciprocal,
 	// after whose reports the limit is divided again. The work for each report
 	// then doesn't depend on the number of entries.
