--- a/node/control_grant_use.go
+++ b/node/control_grant_use.go
@@ -37,23 +37,16 @@
 func (c *Control) shareByUse(vm catalog.VMID, s catalog.Service, u *upstreamView, d wire.Demand) int {
 	id := u.announcement.Instance
 	grantable := c.grantableConnections(s, u)
-	needed, kept := []int{d.Desired - d.Kept}, []int{d.Kept}
+	needed, desired := []int{d.Desired - d.Kept}, []int{d.Desired}
 	free := grantable
 	for name, l := range c.allocations[id] {
 		if name != vm {
 			free -= max(l.outstanding(c.now), l.demand.Held)
-			needed, kept = append(needed, l.demand.Desired-l.demand.Kept), append(kept, l.demand.Kept)
+			needed, desired = append(needed, l.demand.Desired-l.demand.Kept), append(desired, l.demand.Desired)
 		}
 	}
 	need := min(d.Desired-d.Kept, fairShare(grantable, slices.Clone(needed)))
-	rest := grantable / keptDivisor
-	for _, n := range needed {
-		rest -= n
-	}
-	limit := need
-	if rest > 0 && d.Kept > 0 {
-		limit += min(d.Kept, fairShare(rest, kept))
-	}
+	limit := max(need, min(d.Desired, fairShare(grantable/keptDivisor, desired)))
 	for free < need && c.reclaimKept(vm, s.ID, id, need-free) {
 		free = grantable
 		for name, l := range c.allocations[id] {
