node: share scarce primaries by demand and let reads leave busy sites

A saturated primary was shared evenly by sites, so the callers of a site that half of the others moved to had half the chance of others. Reads left their site by a fixed factor, whether that gained anything or not.

With BalanceSites, entries report the work that they are asked for, control's leader sends each site its share, and each entry controls the fraction of its reads that leaves. Without the option nothing changes.

--- a/cmd/kingcupknotd/main.go
+++ b/cmd/kingcupknotd/main.go
@@ -18,6 +18,7 @@
 	Overlay   string `long:"overlay" value-name:"FILE" description:"settings of the VM's site"`
 	VM        string `long:"vm" value-name:"NAME" description:"the VM of the settings that this process is"`
 	Platform  string `long:"platform" value-name:"FILE" description:"settings file of the users' platform, in place of the settings above"`
+	Balance   bool   `long:"balance-sites" description:"with --platform: share scarce primaries by the sites' demand, and let reads leave a site that can't keep their objective"`
 	Data      string `long:"data" value-name:"FOLDER" description:"data folder, for the control role"`
 	Bootstrap bool   `long:"bootstrap" description:"let an empty data folder start a new system; for the very first start only"`
 }
@@ -30,7 +31,10 @@
 func run(o options) error {
 	if o.Platform != "" {
 		ctx, drain := watchSignals()
-		return errors.Trace(daemon.RunHosted(ctx, o.Platform, drain))
+		return errors.Trace(daemon.RunHosted(ctx, daemon.HostedOptions{SettingsFile: o.Platform, BalanceSites: o.Balance}, drain))
+	}
+	if o.Balance {
+		return errors.New("--balance-sites needs --platform")
 	}
 	if o.VM == "" {
 		return errors.New("give --vm, the VM that this process is, or --platform")
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -25,6 +25,7 @@
 // is configured by the platform's settings file.
 type hosted struct {
 	path     string
+	options  HostedOptions
 	settings *platform.Settings
 	clock    Clock
 	loop     *Loop
@@ -39,15 +40,24 @@
 // process after all work has ended.
 const stopReserve = 500 * time.Millisecond
 
-// RunHosted runs the role that the platform's settings file at path gives this
-// process, until it stops. Closing drain begins a planned stop; cancelling the
+// HostedOptions configures a process on the users' platform.
+type HostedOptions struct {
+	// SettingsFile is the path of the platform's settings file.
+	SettingsFile string
+	// BalanceSites makes sites share scarce primaries by demand, and reads leave a
+	// site that can't keep their objective.
+	BalanceSites bool
+}
+
+// RunHosted runs the role that the platform's settings file gives this process,
+// until it stops. Closing drain begins a planned stop; cancelling the
 // context stops the process at once.
-func RunHosted(ctx context.Context, path string, drain <-chan struct{}) error {
-	s, err := platform.LoadSettings(path)
+func RunHosted(ctx context.Context, o HostedOptions, drain <-chan struct{}) error {
+	s, err := platform.LoadSettings(o.SettingsFile)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	h := &hosted{path: path, settings: s, clock: NewClock(), process: newProcess()}
+	h := &hosted{path: o.SettingsFile, options: o, settings: s, clock: NewClock(), process: newProcess()}
 	h.lines = telemetry.NewLineWriter(os.Stdout)
 	defer h.lines.Close()
 	h.log = telemetry.NewLineLogger(h.lines).WithValues("vm", s.Name, "site", string(s.Site))
--- a/daemon/hosted_control.go
+++ b/daemon/hosted_control.go
@@ -38,7 +38,7 @@
 	control, err := node.NewControl(node.ControlOptions{
 		VM: h.settings.VM, Timings: catalog.HostedTimings(h.settings.StopTimeout - h.settings.ListenerCloseDelay() - stopReserve), Members: h.settings.Seeds, DistributesUpstreams: true,
 		Voters: 2*h.settings.FaultTolerance + 1, SurveyTimeout: hostedSurveyTimeout, PromoteAttempts: 1,
-		Saved: saved, SnapshotAfter: hostedSnapshotAfter, Seed: randomUint64(),
+		BalanceSites: h.options.BalanceSites, Saved: saved, SnapshotAfter: hostedSnapshotAfter, Seed: randomUint64(),
 	}, h.clock.Now())
 	if err != nil {
 		return errors.Trace(err)
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -26,6 +26,7 @@
 	entry := node.NewEntry(node.EntryOptions{
 		VM: h.settings.VM, Site: h.settings.Site, Incarnation: uint64(time.Now().UnixNano()), Seed: randomUint64(),
 		Timings: catalog.HostedTimings(h.settings.StopTimeout - h.settings.ListenerCloseDelay() - stopReserve), Control: h.settings.Seeds, UpstreamsFromControl: true,
+		BalanceSites: h.options.BalanceSites,
 	})
 	h.loop = NewLoop(h.clock, entry.Step)
 	pool := session.NewPool(h.poolOptions())
--- a/node/control.go
+++ b/node/control.go
@@ -23,6 +23,9 @@
 	// DistributesUpstreams is set if upstreams announce themselves only to
 	// control, which then sends the list of upstreams to the entries.
 	DistributesUpstreams bool
+	// BalanceSites makes the leader assign shares of saturated primaries to sites
+	// by their demand.
+	BalanceSites bool
 	// Voters is the target number of voting members. Control adds and replaces
 	// members to reach it. Zero leaves membership to operators.
 	Voters int
@@ -91,7 +94,8 @@
 	nextSweepAt             catalog.Instant
 	initialServicesProposed bool
 	// sites holds the active entries of each site.
-	sites siteLists
+	sites   siteLists
+	balance controlBalance
 	// revision counts the changes of upstreams. It never decreases while the
 	// process runs, not even when leadership changes.
 	revision uint64
@@ -150,6 +154,7 @@
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
 	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt = 0, 0, 0
+	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
@@ -311,6 +316,7 @@
 func (c *Control) sweep() {
 	c.proposeInitialServices()
 	c.updateSites()
+	c.updateSiteShares()
 	c.pushChangedUpstreams()
 	c.checkSuspects()
 	c.followPrimaries()
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -50,6 +50,8 @@
 	// sent to it. sentArrivesAt is when these settings must have arrived.
 	sentFromVersion catalog.Version
 	sentArrivesAt   catalog.Instant
+	// work is the work for saturated primaries of the last report.
+	work []wire.ServiceWork
 	// demands holds the demands of the last report that included them.
 	demands []wire.Demand
 }
@@ -171,7 +173,7 @@
 	}
 	v.incarnation, v.sequence, v.reportedAt = r.Incarnation, r.Sequence, c.now
 	v.settingsVersion, v.leaving, v.aliveWithin = r.SettingsVersion, r.Leaving, r.AliveWithin
-	v.upstreamsMark = r.UpstreamsMark
+	v.upstreamsMark, v.work = r.UpstreamsMark, r.Work
 	c.subscribe(from, v, r.Services)
 	for _, a := range r.Announcements {
 		c.handleAnnouncement(a)
@@ -243,6 +245,7 @@
 // sendAnswer answers an entry's report with its leases, grants and settings.
 func (c *Control) sendAnswer(vm catalog.VMID, v *entryView) {
 	a := c.newAnswer(v)
+	c.addSiteShares(a, v)
 	length := c.leaseLength(v.reportedAt)
 	if !c.renewAllLeases(a, vm, v, length) {
 		c.addLeasesToAnswer(a, vm, v, v.services, length)
--- a/node/entry.go
+++ b/node/entry.go
@@ -36,6 +36,10 @@
 	UpstreamsFromControl bool
 	// ReadFromPrimary sends all reads to the primary.
 	ReadFromPrimary bool
+	// BalanceSites makes sites share a saturated primary by their demand, and a
+	// controlled fraction of reads leave a site that does not keep their
+	// objective. It takes effect with UpstreamsFromControl.
+	BalanceSites bool
 	// EqualShares makes every entry request the same number of an upstream's
 	// connections.
 	EqualShares bool
@@ -66,6 +70,7 @@
 	// provenBuffer and likelyBuffer hold the lists returned by candidates and
 	// replicasForFloor, so that a read allocates no memory for them.
 	provenBuffer, likelyBuffer []*entryInstance
+	siteOrder                  siteOrder
 
 	version catalog.Version
 	// routes are sorted by key. transactionIdle is how long a transaction may
@@ -138,6 +143,7 @@
 		leaseValid:     leaseValid,
 		connLimit:      connLimit,
 	}
+	e.options.BalanceSites = o.BalanceSites && o.UpstreamsFromControl
 	e.options.Control = sortedVMs(o.Control)
 	e.seeds = e.options.Control
 	e.options.Peers = sortedVMs(o.Peers)
@@ -259,6 +265,7 @@
 		i.connShortfall = 0
 	}
 	e.reconcileReplication(s)
+	e.endFailedSpill(s)
 	e.dispatch(s)
 	for _, i := range s.instances {
 		e.probeIfDue(i)
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -216,6 +216,17 @@
 	return catalog.Position{}, false
 }
 
+// startAtAny starts a read at the first of the replicas that has a slot and a
+// connection, and reports whether there was one.
+func (e *Entry) startAtAny(r *entryRequest, replicas []*entryInstance) bool {
+	for _, i := range replicas {
+		if e.startRead(r, i, false) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeFloorRead starts a read at a replica or at the leased primary, if
 // upstreams verify the read's floor themselves.
 func (e *Entry) placeFloorRead(s *entryService, r *entryRequest, p *placement) bool {
@@ -226,23 +237,22 @@
 		floor = age
 	}
 	if !known || r.primaryOnly {
+		e.recordPrimaryWork(r)
 		return e.startAtPrimary(s, r, p) || e.awaitPrimary(s, r, p)
 	}
 	r.requiredPosition = floor
-	if e.prefersLocalPrimary(s, r) && e.startAtPrimary(s, r, p) {
+	if !e.options.BalanceSites && e.prefersLocalPrimary(s, r) && e.startAtPrimary(s, r, p) {
 		return true
 	}
 	proven, likely := e.replicasForFloor(s, r, floor)
-	for _, i := range proven {
-		if e.startRead(r, i, false) {
-			return true
-		}
-	}
-	for _, i := range likely {
-		if e.startRead(r, i, false) {
-			return true
+	if e.options.BalanceSites {
+		if placed, waits := e.placeBySite(s, r, p, proven, likely); placed || waits {
+			return placed
 		}
+	} else if e.startAtAny(r, proven) || e.startAtAny(r, likely) {
+		return true
 	}
+	e.recordPrimaryWork(r)
 	primary := s.primaryInstance()
 	if primary != nil && !r.yieldDecided {
 		r.yieldDecided = true
--- a/node/entry_load.go
+++ b/node/entry_load.go
@@ -50,6 +50,9 @@
 // upstream's site. Entries do not know each other's load, so the estimate uses
 // the latency that this entry has measured.
 func (e *Entry) cost(i *entryInstance, r *entryRequest) time.Duration {
+	if e.options.BalanceSites {
+		return e.siteCost(i, r)
+	}
 	if e.keepsObjectiveLocally(i, r) {
 		return 0
 	}
--- a/node/entry_overdue.go
+++ b/node/entry_overdue.go
@@ -30,7 +30,7 @@
 	if !e.options.UpstreamsFromControl || r.Kind != KindRead || r.Objective <= 0 {
 		return
 	}
-	if r.tries+1 >= maxReadTries || r.service.retryTokens < 1 {
+	if r.tries+1 >= maxReadTries || r.service.retryTokens < float64(1+r.service.balance.overdue) {
 		return
 	}
 	if at := e.overdueAt(r); at.After(e.now) {
@@ -38,5 +38,6 @@
 		return
 	}
 	e.increment("overdue-reads")
+	e.countOverdue(r)
 	e.closeConn(c)
 }
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -184,6 +184,9 @@
 func (e *Entry) concurrencyLimit(i *entryInstance) int {
 	if e.options.UpstreamsFromControl {
 		owners := max(min(e.ownerCount(i.service), len(e.owners.entries)), 1)
+		if n, ok := e.sharedLimit(i, owners); ok {
+			return n
+		}
 		return max((siteConcurrencyFactor*i.slots()+owners-1)/owners, 1)
 	}
 	return max(1, int(i.adaptiveLimit))
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -193,6 +193,7 @@
 		}
 	}
 	e.addAnnouncements(m)
+	e.addWork(m)
 	e.omitKnown(m)
 	return m
 }
@@ -311,6 +312,7 @@
 	if a.RenewalLength > 0 && a.PrimariesMark == e.primariesMark() {
 		e.renewLeases(a.RenewalLength, sent)
 	}
+	e.applySiteShares(a, sent)
 	for _, g := range a.Grants {
 		e.applyGrant(g, sent)
 	}
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -90,6 +90,9 @@
 	if r.Kind == KindInTransaction {
 		r.epoch, r.atPrimary = c.epoch, c.atPrimary
 	}
+	if r.atPrimary {
+		e.recordPrimaryWork(r)
+	}
 	if i.running == 0 {
 		i.busySince = e.now
 	}
@@ -127,6 +130,7 @@
 	e.markDirty(r.service)
 	i.running--
 	r.connID = 0
+	e.uncountOverdue(r)
 	r.service.running = removeRequest(r.service.running, r)
 	r.mayHaveRun = r.mayHaveRun || v.Outcome == OutcomeLost || v.Outcome == OutcomeCompleted || v.Outcome == OutcomeFailed ||
 		v.Outcome == OutcomeBehind && !e.options.UpstreamsFromControl
@@ -170,6 +174,7 @@
 		latency := e.now.Sub(r.startedAt)
 		r.service.serviceTime += (latency - r.service.serviceTime) / 8
 		i.recordLatency(latency, e.now)
+		e.recordReadTime(r, i, latency)
 		if r.isRead() && r.Database != "" {
 			r.service.baselines.record(r.Database, latency)
 		}
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/kingcupknot/kingcupknot/balance"
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
@@ -102,6 +103,8 @@
 	// objective have been waiting, zero if none wait.
 	overloadedSince catalog.Instant
 
+	balance entryBalance
+
 	// owners are the entries of the site ranked for the service. The first ones
 	// own it.
 	owners []catalog.VMID
@@ -163,6 +166,8 @@
 	// entry before they were sent to the upstream, as of waitAt.
 	wait   time.Duration
 	waitAt catalog.Instant
+	// readLatency is the latency of reads, used with BalanceSites.
+	readLatency balance.Latency
 	// busySince is when this entry last started a request at the upstream while
 	// no other request of this entry ran there.
 	busySince catalog.Instant
@@ -307,6 +312,11 @@
 	// yieldDecided is set once it was decided whether the read yields, that is,
 	// does not run at the primary.
 	yieldDecided, yields bool
+	// siteDecided is set once it was decided whether the read leaves its site, and
+	// workCounted once the request is counted as work for the primary.
+	siteDecided, leavesSite, workCounted bool
+	// isOverdue is set while the connection of an overdue read is being closed.
+	isOverdue bool
 	// primaryOnly is set if the read must run at the primary, as its caller or
 	// the policy demands or because a replica refused it as a write.
 	primaryOnly bool
--- a/node/entry_write.go
+++ b/node/entry_write.go
@@ -8,6 +8,7 @@
 
 // placeWrite starts a write or a transaction at the leased primary.
 func (e *Entry) placeWrite(s *entryService, r *entryRequest, p *placement) bool {
+	e.recordPrimaryWork(r)
 	i := e.readyPrimary(s)
 	if i == nil || e.options.UpstreamsFromControl && e.isFailing(i) {
 		return e.awaitPrimary(s, r, p)
--- a/wire/message.go
+++ b/wire/message.go
@@ -229,8 +229,9 @@
 // ServiceWork is how much work an entry has for the upstreams of a service.
 type ServiceWork struct {
 	Service catalog.ServiceID `cbor:"1,keyasint"`
-	// Asked is the number of requests that run or wait for the service's
-	// primary.
+	// Asked is the work that callers recently asked of the service's primary,
+	// as the mean number of statements that would run there at the same time.
+	// It includes the work that was refused.
 	Asked float32 `cbor:"2,keyasint"`
 }
 
