--- a/node/entry_balance.go
+++ b/node/entry_balance.go
@@ -59,7 +59,10 @@
 // siteOrder holds the replicas for one read by site. Its lists are reused.
 type siteOrder struct {
 	home, away []*entryInstance
-	times      []time.Duration
+	// behind holds the replicas, of any site, that the last read there found too
+	// old. No read waits for them.
+	behind []*entryInstance
+	times  []time.Duration
 }
 
 // placeBySite starts a read at a replica, in its own site or elsewhere. It reports
@@ -90,32 +93,41 @@
 		return true, false
 	}
 	if len(o.home)+len(o.away) == 0 {
-		return false, false
+		return e.startAtAny(r, o.behind), false
 	}
 	if until := r.arrivedAt.Add(r.Objective / homeObjectiveDivisor); e.now.Before(until) {
 		e.scheduleWake(until)
 		placed = e.awaitReplica(s, r, p)
 		return placed, !placed
 	}
-	return !leaves && e.startAway(r, o), false
+	return !leaves && e.startAway(r, o) || e.startAtAny(r, o.behind), false
 }
 
 // orderBySite divides the replicas for a read by site, the best first.
 func (e *Entry) orderBySite(proven, likely []*entryInstance) *siteOrder {
 	o := &e.siteOrder
-	o.home, o.away = o.home[:0], o.away[:0]
-	for _, is := range [][]*entryInstance{proven, likely} {
-		for _, i := range is {
-			if i.inOwnSite {
-				o.home = append(o.home, i)
-			} else {
-				o.away = append(o.away, i)
-			}
+	o.home, o.away, o.behind = o.home[:0], o.away[:0], o.behind[:0]
+	for _, i := range proven {
+		o.add(i)
+	}
+	for _, i := range likely {
+		if i.behindCount > 0 {
+			o.behind = append(o.behind, i)
+		} else {
+			o.add(i)
 		}
 	}
 	return o
 }
 
+func (o *siteOrder) add(i *entryInstance) {
+	if i.inOwnSite {
+		o.home = append(o.home, i)
+	} else {
+		o.away = append(o.away, i)
+	}
+}
+
 // startAway starts a read at a replica of another site. The first choice is
 // random, weighted by the expected times, and the others follow by cost.
 func (e *Entry) startAway(r *entryRequest, o *siteOrder) bool {
--- a/node/entry_balance_test.go
+++ b/node/entry_balance_test.go
@@ -69,9 +69,10 @@
 			return &sitePlay{entriesPerSite: []int{6, 6, 6}, upstreams: []int{0, 1, 2}, writes: 1, load: waveSites(0.6)}
 		},
 		"half of the callers move to one site for 6.5 s": func() *sitePlay {
-			return &sitePlay{entriesPerSite: []int{6, 6, 6}, upstreams: []int{0, 1, 2}, writes: 1, load: func(site int, at time.Duration) float64 {
+			hasMoved := func(at time.Duration) bool { return at >= 10*time.Second && at < 16500*time.Millisecond }
+			return &sitePlay{entriesPerSite: []int{6, 6, 6}, upstreams: []int{0, 1, 2}, writes: 1, isCounted: hasMoved, load: func(site int, at time.Duration) float64 {
 				switch {
-				case at < 10*time.Second || at > 16500*time.Millisecond:
+				case !hasMoved(at):
 					return 0.6
 				case site == 0:
 					return 1.2
@@ -233,3 +234,20 @@
 		So(report(30), ShouldEqual, 0)
 	})
 }
+
+// TestReadsDoNotWaitForReplicasBehind guards against reads that wait for a slot at a
+// replica of their site which the last read found too old, while the primary is free.
+func TestReadsDoNotWaitForReplicasBehind(t *testing.T) {
+	Convey("a read runs at the primary at once if all replicas are behind and busy", t, func() {
+		w := newListedEntry()
+		w.entry.options.BalanceSites = true
+		for _, i := range w.entry.services["orders"].instances {
+			if i.id != "a" {
+				i.positionKnown, i.behindCount, i.running = true, 1, 100
+			}
+		}
+		run, ok := w.run(RequestArrived{Request: 1, Kind: KindRead, Objective: 400 * time.Millisecond, Floor: catalog.Position{Term: 1, Offset: 9}})
+		So(ok, ShouldBeTrue)
+		So(w.conns[run.Conn], ShouldEqual, catalog.InstanceID("a"))
+	})
+}
--- a/node/entry_site_play_test.go
+++ b/node/entry_site_play_test.go
@@ -32,6 +32,9 @@
 	// isDown reports whether an upstream refuses connections.
 	isDown func(upstream int, at time.Duration) bool
 
+	// isCounted reports whether requests that arrive at a time count; nil means
+	// always.
+	isCounted func(at time.Duration) bool
 	// beforeTick is called before each tick, if not nil.
 	beforeTick func(at time.Duration)
 
@@ -68,6 +71,7 @@
 type playRequest struct {
 	site      int
 	kind      RequestKind
+	isCounted bool
 	arrivedAt catalog.Instant
 	// origin forwarded the request as originRequest, if not nil.
 	origin        *playEntry
@@ -208,13 +212,16 @@
 }
 
 func (p *sitePlay) offer(site int) {
-	p.offered[site]++
+	isCounted := p.isCounted == nil || p.isCounted(p.at())
+	if isCounted {
+		p.offered[site]++
+	}
 	first := 0
 	for _, count := range p.entriesPerSite[:site] {
 		first += count
 	}
 	v := p.entries[first+p.random.IntN(p.entriesPerSite[site])]
-	r := &playRequest{site: site, arrivedAt: p.now}
+	r := &playRequest{site: site, isCounted: isCounted, arrivedAt: p.now}
 	if p.random.Float64() < p.writes {
 		r.kind = KindWrite
 	}
@@ -331,7 +338,7 @@
 	delete(p.requests, a.Request)
 	took := p.now.Sub(r.arrivedAt)
 	switch {
-	case a.Verdict == VerdictDone && took <= playObjective:
+	case a.Verdict == VerdictDone && took <= playObjective && r.isCounted:
 		p.inTime[r.site]++
 	case a.Verdict == VerdictUnknown:
 		p.lost[r.site]++
