node: log the shares of sites in one pair

Names of sites were keys of the log line. Also, the begin of a read transaction no longer counts as a read's latency, as it is short and would hide that reads take long.

go test ./node ./balance ./daemon passes, make lint too.

--- a/node/control_balance.go
+++ b/node/control_balance.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/balance"
@@ -157,12 +158,12 @@
 		return
 	}
 	hasChanged := false
-	pairs := []string{"service", string(id)}
+	var texts []string
 	for _, site := range sites {
 		share, old := shares[site], last.bySite[site]
 		hasChanged = hasChanged || share > (1+shareLogStep)*old || old > (1+shareLogStep)*share
 		if share > 0 {
-			pairs = append(pairs, string(site), strconv.FormatFloat(share, 'f', 1, 64))
+			texts = append(texts, string(site)+"="+strconv.FormatFloat(share, 'f', 1, 64))
 		}
 	}
 	if !hasChanged {
@@ -172,5 +173,5 @@
 		c.balance.logged = map[catalog.ServiceID]loggedShares{}
 	}
 	c.balance.logged[id] = loggedShares{bySite: shares, at: c.now}
-	c.log("balance", "The shares of the sites in a primary changed.", pairs...)
+	c.log("balance", "The shares of the sites in a primary changed.", "service", string(id), "shares", strings.Join(texts, " "))
 }
--- a/node/entry_spill.go
+++ b/node/entry_spill.go
@@ -87,7 +87,7 @@
 	if !e.options.BalanceSites {
 		return
 	}
-	if r.isRead() {
+	if r.Kind == KindRead {
 		i.readLatency.Record(latency, e.now)
 	}
 	if b := &r.service.balance; r.atPrimary {
--- a/wire/message.go
+++ b/wire/message.go
@@ -235,12 +235,12 @@
 	Asked float32 `cbor:"2,keyasint"`
 }
 
-// SiteShare is the share of a service's saturated upstreams that the entries of
-// one site may use.
+// SiteShare is the share of a service's saturated primary that the entries of one
+// site may use.
 type SiteShare struct {
 	Service catalog.ServiceID `cbor:"1,keyasint"`
 	// Statements is the number of statements that the entries of the site
-	// together may run at an upstream of the service.
+	// together may run at the primary.
 	Statements float32 `cbor:"2,keyasint"`
 	// Length is the duration of the share, counted from the same moment as
 	// Lease.Length.
