--- a/node/control.go
+++ b/node/control.go
@@ -23,6 +23,9 @@
 	// DistributesUpstreams is set if upstreams announce themselves only to
 	// control, which then sends the list of upstreams to the entries.
 	DistributesUpstreams bool
+	// BalanceSites makes the leader assign shares of saturated primaries to sites
+	// by their demand.
+	BalanceSites bool
 	// Voters is the target number of voting members. Control adds and replaces
 	// members to reach it. Zero leaves membership to operators.
 	Voters int
@@ -93,7 +96,8 @@
 	// sites holds the active entries of each site.
 	sites siteLists
 	// limits divides the limits of organisations among the entries.
-	limits controlLimits
+	limits  controlLimits
+	balance controlBalance
 	// revision counts the changes of upstreams. It never decreases while the
 	// process runs, not even when leadership changes.
 	revision uint64
@@ -153,6 +157,7 @@
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
 	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt = 0, 0, 0
 	c.resetLimits()
+	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
@@ -314,6 +319,7 @@
 func (c *Control) sweep() {
 	c.proposeInitialServices()
 	c.updateSites()
+	c.updateSiteShares()
 	c.pushChangedUpstreams()
 	c.checkSuspects()
 	c.followPrimaries()
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -213,11 +213,14 @@
 func (e *Entry) concurrencyLimit(i *entryInstance) int {
 	if e.options.UpstreamsFromControl {
 		owners := max(min(e.ownerCount(i.service), len(e.owners.entries)), 1)
-		limit := siteConcurrencyFactor * i.slots()
 		if e.organisations != nil {
-			limit = organisationConcurrencyFactor * i.slots()
+			limit := organisationConcurrencyFactor * i.slots()
+			return max((limit+owners-1)/owners, e.organisationsPart(i.service, limit), 1)
 		}
-		return max((limit+owners-1)/owners, e.organisationsPart(i.service, limit), 1)
+		if n, ok := e.sharedLimit(i, owners); ok {
+			return n
+		}
+		return max((siteConcurrencyFactor*i.slots()+owners-1)/owners, 1)
 	}
 	return max(1, int(i.adaptiveLimit))
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -241,17 +241,18 @@
 // ServiceWork is how much work an entry has for the upstreams of a service.
 type ServiceWork struct {
 	Service catalog.ServiceID `cbor:"1,keyasint"`
-	// Asked is the number of requests that run or wait for the service's
-	// primary.
+	// Asked is the work that callers recently asked of the service's primary,
+	// as the mean number of statements that would run there at the same time.
+	// It includes the work that was refused.
 	Asked float32 `cbor:"2,keyasint"`
 }
 
-// SiteShare is the share of a service's saturated upstreams that the entries of
-// one site may use.
+// SiteShare is the share of a service's saturated primary that the entries of one
+// site may use.
 type SiteShare struct {
 	Service catalog.ServiceID `cbor:"1,keyasint"`
 	// Statements is the number of statements that the entries of the site
-	// together may run at an upstream of the service.
+	// together may run at the primary.
 	Statements float32 `cbor:"2,keyasint"`
 	// Length is the duration of the share, counted from the same moment as
 	// Lease.Length.
