ratelimit: admit up to the limit, and after a restart of all entries

After the loss of all power a new leader held back a quarter of each limit for shares of an earlier leader that no entry had, and entries started with one operation each while all callers returned: 1,115 refusals in two seconds.

--- a/node/control_limit.go
+++ b/node/control_limit.go
@@ -44,7 +44,11 @@
 	}
 	l := &c.limits
 	l.reportedCount = max(l.reportedCount, r.EntryCount)
-	c.entries[vm].entryCount = r.EntryCount
+	v := c.entries[vm]
+	v.entryCount = r.EntryCount
+	if r.EntryCount != 0 && !v.entryCountSent {
+		l.allocator.SetPredecessor()
+	}
 	unheard := 0
 	if c.now.Sub(c.quorum.LeaderSince()) < forgetAfter {
 		unheard = c.entryCount() - len(c.entries)
@@ -82,7 +86,7 @@
 		return
 	}
 	if n := c.entryCount(); n != c.entries[vm].entryCount {
-		a.EntryCount = n
+		a.EntryCount, c.entries[vm].entryCountSent = n, true
 	}
 	length := shareIntervals * c.options.Timings.ReportInterval
 	for _, s := range c.limits.allocator.Shares(c.now, vm) {
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -57,6 +57,8 @@
 	// entryCount is the number of entries of all sites that the entry knew at
 	// its last report.
 	entryCount int
+	// entryCountSent is set once this leader has sent the entry that number.
+	entryCountSent bool
 }
 
 type leaseView struct {
--- a/ratelimit/admission.go
+++ b/ratelimit/admission.go
@@ -49,6 +49,10 @@
 	// startTime is how long after its start an entry has no burst beyond one
 	// operation. It is the window of the rule.
 	startTime = 5 * time.Second
+	// startBurstTime is the time of its even share that an entry may use at once
+	// within startTime. After a loss of power all callers return at once. It is
+	// less than the time that a restart takes, in which nothing is admitted.
+	startBurstTime = 500 * time.Millisecond
 	// forgetAfter is how long an organisation without work is remembered.
 	forgetAfter = time.Minute
 	// maxRetry is the longest retry time.
@@ -164,7 +168,7 @@
 		o = &admitted{limit: limit, threshold: random, thresholdAt: now}
 		o.open = bucket{tokens: openDepth, at: now}
 		if now.Sub(a.startedAt) < startTime {
-			o.open.tokens = 1
+			o.open.tokens = 1 + limit.Rate/float64(a.entries)*startBurstTime.Seconds()
 		}
 		o.isolated.at = now
 		a.organisations[id] = o
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -41,6 +41,9 @@
 	options Options
 	// ledSince is when the leader was elected.
 	ledSince catalog.Instant
+	// hasPredecessor is set once an entry was found that has been in contact with
+	// an earlier leader.
+	hasPredecessor bool
 	pools    map[catalog.OrganisationID]*pool
 	entries  map[catalog.VMID]*entryUsage
 	// entryCount is the number of entries of the system, and unheardCount that of
@@ -140,7 +143,7 @@
 	if p == nil {
 		p = &pool{id: id, limit: l}
 		p.ledger = bucket{tokens: p.depth(), at: now}
-		if a.isNew(now) {
+		if a.mayOverlap(now) {
 			// It is not known what was admitted under the last leader.
 			p.ledger.tokens /= 2
 		}
@@ -153,9 +156,15 @@
 	return r
 }
 
-// isNew reports whether the shares of an earlier leader may still be valid.
-func (a *Allocator) isNew(now catalog.Instant) bool {
-	return now.Sub(a.ledSince) < a.options.ShareLength
+// mayOverlap reports whether shares of an earlier leader may still be valid. After
+// the restart of all entries none is.
+func (a *Allocator) mayOverlap(now catalog.Instant) bool {
+	return a.hasPredecessor && now.Sub(a.ledSince) < a.options.ShareLength
+}
+
+// SetPredecessor records that an entry has been in contact with an earlier leader.
+func (a *Allocator) SetPredecessor() {
+	a.hasPredecessor = true
 }
 
 // update applies the last report of an entry to the record of an organisation.
--- a/ratelimit/pool.go
+++ b/ratelimit/pool.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// usableRate is the part of a limit's rate that is divided among entries.
-	// The remainder is for entries whose demand is not known yet.
-	usableRate = 0.95
+	// targetRate is the part of a limit's rate that all entries together may use.
+	// It is above one since shares are never used up entirely, and operations
+	// refused below the limit are lost to callers. 5 s may exceed the limit by a
+	// tenth.
+	targetRate = 1.04
+	// usableRate is the part of the target that is divided among entries. The
+	// remainder is for entries whose demand is not known yet.
+	usableRate = 0.97
 	// usableByNewLeader replaces usableRate while the shares of an earlier leader
 	// may be valid. A new leader does not know what exceeded the limit before.
 	usableByNewLeader = 0.75
@@ -78,7 +83,7 @@
 
 // rate returns the rate that the entries in contact may use.
 func (p *pool) rate() float64 {
-	return max(p.limit.Rate-p.reserve, minRate*p.limit.Rate)
+	return max(targetRate*p.limit.Rate-p.reserve, minRate*p.limit.Rate)
 }
 
 // isScarce reports whether one operation at each entry would exceed the limit.
@@ -154,7 +159,7 @@
 	}
 	p.reserve = max(p.reserve-unreservedRate*p.limit.Rate, 0)
 	usable := usableRate
-	if a.isNew(now) {
+	if a.mayOverlap(now) {
 		usable = usableByNewLeader
 	}
 	available := max(usable*p.rate()+p.ledger.tokens/balanceTime.Seconds(), minRate*p.rate())
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -48,7 +48,7 @@
 // appendShare adds the share of an organisation at an entry if it must be sent.
 func (a *Allocator) appendShare(out []Share, now catalog.Instant, r *record) []Share {
 	rate := r.pool.shareOf(r, a.entryCount)
-	if a.isNew(now) {
+	if a.mayOverlap(now) {
 		rate = min(rate, max(r.asked, r.average), r.pool.limit.Rate/float64(a.entryCount))
 	}
 	tolerance, renewAfter := shareTolerance, a.options.ShareLength/2
--- a/ratelimit/system_test.go
+++ b/ratelimit/system_test.go
@@ -80,6 +80,7 @@
 func (w *system) electLeader(site int, after time.Duration) {
 	w.leaderSite, w.leaderFrom, w.heard = site, w.now.Add(after), map[catalog.VMID]bool{}
 	w.leader = NewAllocator(Options{ReportInterval: testInterval, ShareLength: testLength}, w.leaderFrom)
+	w.leader.SetPredecessor()
 }
 
 func (w *system) cutSite(site int, isCut bool) {
