quorum: compact the log after a number of bytes, too

A whole configuration of 3,152 routes and 1,200 services is a record of 308 kB, so 256 of them have 79 MB, before garbage, of the 280 MB of such a VM. Smaller records are compacted by their number as before.

TestLargeRecordsAreCompacted fails without the bound (716,800 bytes after 7 records). go test ./quorum ./daemon passes.

--- a/daemon/hosted_control.go
+++ b/daemon/hosted_control.go
@@ -21,6 +21,9 @@
 	hostedCommandTimeout = 900 * time.Millisecond
 	// hostedSnapshotAfter is the number of log records between snapshots.
 	hostedSnapshotAfter = 256
+	// hostedSnapshotAfterBytes bounds the log in memory where configurations are
+	// large: 256 of 3,152 routes have 79 MB.
+	hostedSnapshotAfterBytes = 1 << 20
 	// hostedSurveyTimeout bounds one survey of an upstream.
 	hostedSurveyTimeout = 400 * time.Millisecond
 	// promotePollInterval is the time between two calls to the platform, and
@@ -38,7 +41,7 @@
 	control, err := node.NewControl(node.ControlOptions{
 		VM: h.settings.VM, Timings: catalog.HostedTimings(h.settings.StopTimeout - h.settings.ListenerCloseDelay() - stopReserve), Members: h.settings.Seeds, DistributesUpstreams: true,
 		Voters: 2*h.settings.FaultTolerance + 1, SurveyTimeout: hostedSurveyTimeout, PromoteAttempts: 1,
-		Saved: saved, SnapshotAfter: hostedSnapshotAfter, Seed: randomUint64(),
+		Saved: saved, SnapshotAfter: hostedSnapshotAfter, SnapshotAfterBytes: hostedSnapshotAfterBytes, Seed: randomUint64(),
 	}, h.clock.Now())
 	if err != nil {
 		return errors.Trace(err)
--- a/node/control.go
+++ b/node/control.go
@@ -33,8 +33,11 @@
 	Services []catalog.Service
 	// Saved is the state that was loaded from the data folder at the start.
 	Saved         quorum.PersistentState
-	SnapshotAfter int    // committed records after which a snapshot is made
-	Seed          uint64 // of the random election timeouts
+	SnapshotAfter int // committed records after which a snapshot is made
+	// SnapshotAfterBytes bounds the committed records that are kept in memory, as
+	// quorum.Settings.SnapshotAfterBytes does.
+	SnapshotAfterBytes int
+	Seed               uint64 // of the random election timeouts
 }
 
 // Control is the reducer of a control VM.
@@ -125,8 +128,8 @@
 	c.quorum = quorum.New(quorum.Settings{
 		HeartbeatInterval: o.Timings.HeartbeatInterval,
 		ElectionTimeout:   o.Timings.ElectionTimeout,
-		SnapshotAfter:     o.SnapshotAfter,
-		Seed:              o.Seed,
+		SnapshotAfter:     o.SnapshotAfter, SnapshotAfterBytes: o.SnapshotAfterBytes,
+		Seed: o.Seed,
 	}, now, o.Saved)
 	c.entryCounts = map[catalog.SiteID]int{}
 	for _, site := range o.Entries {
--- a/quorum/api.go
+++ b/quorum/api.go
@@ -85,6 +85,10 @@
 	// SnapshotAfter is how many records must be committed after the latest
 	// snapshot before Output.SnapshotDue is set. Zero turns snapshots off.
 	SnapshotAfter int
+	// SnapshotAfterBytes makes a snapshot due also after as many bytes of
+	// records, or as many as maxLogPerSnapshot snapshots have if these are more.
+	// Zero means no bound. All records since the snapshot are kept in memory.
+	SnapshotAfterBytes int
 	// Seed seeds the random election timeouts. The seed of each member also
 	// depends on its VM and incarnation, so that their timeouts differ.
 	Seed uint64
--- a/quorum/group.go
+++ b/quorum/group.go
@@ -210,7 +210,26 @@
 func (g *Group) isSnapshotDue() bool {
 	after := g.settings.SnapshotAfter
 	hasMembers := len(g.log.snapshot.Members) > 0 || (len(g.members) > 0 && g.membersIndex <= g.commitIndex)
-	return after > 0 && hasMembers && g.commitIndex-g.log.snapshot.Index >= Index(after)
+	committed := int(g.commitIndex - g.log.snapshot.Index)
+	return after > 0 && hasMembers && (committed >= after || g.isLogLong(committed))
+}
+
+// maxLogPerSnapshot is the size of the log, relative to the latest snapshot, up to
+// which another snapshot would cost more than the records that it replaces.
+const maxLogPerSnapshot = 2
+
+// isLogLong reports whether the first records after the snapshot have so many
+// bytes that a snapshot is due.
+func (g *Group) isLogLong(records int) bool {
+	if g.settings.SnapshotAfterBytes == 0 {
+		return false
+	}
+	limit := max(g.settings.SnapshotAfterBytes, maxLogPerSnapshot*len(g.log.snapshot.Data))
+	size := 0
+	for _, r := range g.log.records[:records] {
+		size += len(r.Data)
+	}
+	return size >= limit
 }
 
 // sendAfterSync sends messages once all writes so far are synced. If the early
--- a/quorum/group_test.go
+++ b/quorum/group_test.go
@@ -245,3 +245,48 @@
 		g.Tick(g.NextTick())
 	})
 }
+
+// TestLargeRecordsAreCompacted guards against a log that fills the memory of a
+// control VM: 256 configurations of 3,152 routes have 79 MB, and snapshots once
+// followed the number of records alone.
+func TestLargeRecordsAreCompacted(t *testing.T) {
+	const (
+		recordBytes   = 100 << 10
+		snapshotBytes = 150 << 10
+		bound         = 512 << 10
+	)
+	own := Member{VM: "a", Incarnation: 1, Voter: true}
+	g := New(Settings{HeartbeatInterval: 1, ElectionTimeout: 5, SnapshotAfter: 256, SnapshotAfterBytes: bound}, ms, PersistentState{
+		Self: own, Snapshot: Snapshot{Members: []Member{own}},
+	})
+	settle := func(o Output) {
+		for o.Write != nil || o.SnapshotDue {
+			if o.SnapshotDue {
+				o = g.Compact(ms, g.CommitIndex(), make([]byte, snapshotBytes))
+			} else {
+				o = g.MarkSynced(ms, o.WriteID)
+			}
+		}
+	}
+	settle(g.Tick(time100))
+	for n := range 50 {
+		_, o, err := g.Propose(time100, make([]byte, recordBytes))
+		if err != nil {
+			t.Fatal(err)
+		}
+		settle(o)
+		size := 0
+		for _, r := range g.log.records {
+			size += len(r.Data)
+		}
+		if size > bound+recordBytes {
+			t.Fatalf("after %d records the log has %d bytes", n+1, size)
+		}
+	}
+	if g.log.snapshot.Index == 0 {
+		t.Fatal("no snapshot was made")
+	}
+}
+
+// time100 is long after the start of a group, so that a single member leads.
+const time100 = catalog.Instant(100 * time.Second)
