capacity: play the cost of control in a large fleet

kingcupknot-slopes fleet plays the start of a fleet and a configuration that is changed every second, with the model of the recovery, and counts control's bytes by kind of message, what is queued for the entries' links of 250 kB/s, and the live heap of the reducers.

--- a/capacity/fixtures.go
+++ b/capacity/fixtures.go
@@ -40,6 +40,9 @@
 	return catalog.VMID(fmt.Sprintf("entry-%04d", n))
 }
 
+// primarySuffix ends the names of the instances that are primaries.
+const primarySuffix = "-0"
+
 func newService(n, instances int) catalog.Service {
 	return catalog.Service{
 		ID: serviceID(n), Ack: catalog.AckPrimary, Instances: instances,
--- a/capacity/recovery.go
+++ b/capacity/recovery.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,6 +11,7 @@
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/node"
 	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/registry"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -75,6 +77,9 @@
 	isDown   bool
 	isActive bool
 	timerAt  catalog.Instant
+	// primaryConns holds the open connections of an entry, and whether each is to
+	// a primary.
+	primaryConns map[catalog.ConnID]bool
 	// leasedAt is when the entry last got an answer of a leader.
 	leasedAt catalog.Instant
 }
@@ -95,14 +100,26 @@
 	result   Recovery
 	isOutage bool
 	sequence uint64
+	// The fields below differ in plays of PlayFleet.
+	meter                             *fleetMeter
+	controlCount                      int
+	snapshotAfter, snapshotAfterBytes int
+}
+
+func newRecoverySim(l RecoveryLoad) *recoverySim {
+	w := &recoverySim{
+		load: l, timings: catalog.HostedTimings(modelDrainTimeout), random: rand.New(rand.NewPCG(l.Seed, 1)),
+		vms: map[catalog.VMID]*modelVM{}, controlCount: l.Voters, snapshotAfter: 1 << 20,
+	}
+	w.now = catalog.Instant(time.Minute)
+	return w
 }
 
 // PlayRecovery plays the loss of control's leader and, one second later, of most
 // entries for 1.7 s.
 func PlayRecovery(l RecoveryLoad) (Recovery, error) {
-	w := &recoverySim{load: l, timings: catalog.HostedTimings(modelDrainTimeout), random: rand.New(rand.NewPCG(l.Seed, 1)), vms: map[catalog.VMID]*modelVM{}}
-	w.now = catalog.Instant(time.Minute)
-	if err := w.start(); err != nil {
+	w := newRecoverySim(l)
+	if err := w.start(newState(l.Services, l.Instances)); err != nil {
 		return Recovery{}, errors.Trace(err)
 	}
 	w.advance(warmUp)
@@ -150,14 +167,13 @@
 
 func (w *recoverySim) controlIDs() []catalog.VMID {
 	var out []catalog.VMID
-	for n := range w.load.Voters {
+	for n := range w.controlCount {
 		out = append(out, controlID(n))
 	}
 	return out
 }
 
-func (w *recoverySim) start() error {
-	state := newState(w.load.Services, w.load.Instances)
+func (w *recoverySim) start(state *registry.State) error {
 	for s := range w.load.Services {
 		for i := range w.load.Instances {
 			// Control records no roles, so a new leader learns these again.
@@ -171,8 +187,8 @@
 		return errors.Trace(err)
 	}
 	var members []quorum.Member
-	for _, vm := range w.controlIDs() {
-		members = append(members, quorum.Member{VM: vm, Incarnation: 1, Voter: true})
+	for n, vm := range w.controlIDs() {
+		members = append(members, quorum.Member{VM: vm, Incarnation: 1, Voter: n < w.load.Voters})
 	}
 	for n, vm := range w.controlIDs() {
 		k := &modelVM{id: vm, isControl: true}
@@ -204,7 +220,7 @@
 func (w *recoverySim) startControl(n int) error {
 	c, err := node.NewControl(node.ControlOptions{
 		VM: controlID(n), Timings: w.timings, Members: w.controlIDs(), DistributesUpstreams: true,
-		Voters: w.load.Voters, PromoteAttempts: 1, Saved: w.saved[n], SnapshotAfter: 1 << 20, Seed: w.random.Uint64(),
+		Voters: w.load.Voters, PromoteAttempts: 1, Saved: w.saved[n], SnapshotAfter: w.snapshotAfter, SnapshotAfterBytes: w.snapshotAfterBytes, Seed: w.random.Uint64(),
 	}, w.now)
 	if err != nil {
 		return errors.Trace(err)
@@ -247,8 +263,11 @@
 func (w *recoverySim) announce(service, instance int) {
 	w.schedule(upstreamHeartbeat, func() { w.announce(service, instance) })
 	w.sequence++
-	if k := w.vms[w.leader]; k != nil {
-		w.feed(k, node.AnnouncementReceived{Announcement: newAnnouncement(service, instance, w.sequence)})
+	a := newAnnouncement(service, instance, w.sequence)
+	if w.meter != nil {
+		w.meter.announceToAny(w, a)
+	} else if k := w.vms[w.leader]; k != nil {
+		w.feed(k, node.AnnouncementReceived{Announcement: a})
 	}
 }
 
@@ -310,6 +329,9 @@
 // execute carries out an effect that the process reaches after the given
 // processor time.
 func (w *recoverySim) execute(v *modelVM, x node.Effect, used time.Duration) {
+	if w.meter != nil {
+		w.meter.record(w, v, x)
+	}
 	switch e := x.(type) {
 	case node.SetTimer:
 		v.timerAt = e.At
@@ -320,12 +342,21 @@
 			}
 		})
 	case node.SendMessage:
-		w.schedule(used+networkLatency, func() { w.deliver(v, e) })
+		delay := used + networkLatency
+		if w.meter != nil {
+			delay += w.meter.delay(w, v, e)
+		}
+		w.schedule(delay, func() { w.deliver(v, e) })
 	case node.Persist:
 		w.later(v, used+modelSyncTime, func() { w.feed(v, node.Persisted{Token: e.Token}) })
 	case node.OpenConn:
+		if v.primaryConns == nil {
+			v.primaryConns = map[catalog.ConnID]bool{}
+		}
+		v.primaryConns[e.Conn] = strings.HasSuffix(string(e.Instance), primarySuffix)
 		w.later(v, connectTime, func() { w.feed(v, node.ConnOpened{Conn: e.Conn}) })
 	case node.CloseConn:
+		delete(v.primaryConns, e.Conn)
 		w.later(v, networkLatency, func() { w.feed(v, node.ConnLost{Conn: e.Conn}) })
 	case node.Survey:
 		w.later(v, connectTime, func() {
--- a/cmd/kingcupknot-slopes/main.go
+++ b/cmd/kingcupknot-slopes/main.go
@@ -21,6 +21,8 @@
 
 	Recover recoverCommand `command:"recover" description:"Play the loss of control's leader and of most entries, at several sizes."`
 
+	Fleet fleetCommand `command:"fleet" description:"Play the start of a fleet and changes of its configuration, and print what they cost control."`
+
 	Scarcity scarcityCommand `command:"scarcity" description:"Play a service whose replicas are all far behind, so that its primary is asked for more than it can run."`
 }
 
