link: encode a whole configuration once for all entries

A control VM encoded the whole configuration for each entry that had none and queued a copy for each. Queues were bounded by 1,024 messages, not in bytes. A frame of 0.5 MB takes an entry's link of 250 kB/s over two seconds, while a write had to end within one and pongs waited behind it, so the connection was closed and the list was sent again.

The list of routes is now encoded once and shared by the packets, which have the same form on the wire. What waits for a peer is bounded by 1 MiB besides a first packet. The time for a write grows with the packet, and a long one is written in parts with pongs in between.

TestRoutesAreEncodedOnce and TestQueueIsBoundedInBytes test what did not exist before. go test ./link passes.

--- a/link/dial.go
+++ b/link/dial.go
@@ -40,18 +40,19 @@
 	mutex   sync.Mutex
 	// queues holds the encoded messages that wait for each peer. One goroutine
 	// per queue sends them.
-	queues map[catalog.VMID]chan []byte
+	queues map[catalog.VMID]*packetQueue
 	// returnPaths holds the newest open connection of each peer that has
 	// connected to this process and reads messages on the connection.
 	returnPaths map[catalog.VMID]*returnPath
 	client      *http.Client
+	routes      routeCache
 }
 
 // NewHub returns a hub that works until Close is called.
 func NewHub(o Options) *Hub {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Hub{
-		options: o, context: ctx, stop: stop, queues: map[catalog.VMID]chan []byte{},
+		options: o, context: ctx, stop: stop, queues: map[catalog.VMID]*packetQueue{},
 		returnPaths: map[catalog.VMID]*returnPath{},
 		client:      &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(dialTimeout).DialContext}},
 	}
@@ -64,8 +65,9 @@
 
 // Send queues a message for a peer. It never blocks. It drops the message if
 // the message can't be encoded, the peer is unknown or the peer's queue is full.
+// A list of MinSharedRoutes routes or more must not be changed afterwards.
 func (h *Hub) Send(to catalog.VMID, m wire.Message) {
-	data, err := Encode(m)
+	p, err := h.routes.encodePacket(m)
 	if err != nil {
 		h.options.OnError(err)
 		return
@@ -76,16 +78,14 @@
 	if q == nil {
 		return
 	}
-	select {
-	case q <- data:
-	default:
+	if !q.add(p) {
 		h.options.OnError(errors.Errorf("queue to %s is full", to))
 	}
 }
 
 // maintainConnection connects to a peer, sends the messages in its queue, and
 // reconnects after failures with exponential backoff.
-func (h *Hub) maintainConnection(to catalog.VMID, q chan []byte) {
+func (h *Hub) maintainConnection(to catalog.VMID, q *packetQueue) {
 	wait := minRedialDelay
 	for h.context.Err() == nil {
 		ctx, cancel := context.WithTimeout(h.context, dialTimeout)
@@ -108,10 +108,11 @@
 
 // discardQueued empties a queue. Messages that waited for an unreachable peer
 // are out of date.
-func discardQueued(q chan []byte) {
+func discardQueued(q *packetQueue) {
 	for {
 		select {
-		case <-q:
+		case p := <-q.packets:
+			q.taken(p)
 		default:
 			return
 		}
@@ -159,7 +160,7 @@
 
 // sendQueued sends queued messages, and receives those of the peer, until the
 // connection fails.
-func (h *Hub) sendQueued(s *websocket.Conn, to catalog.VMID, q chan []byte) {
+func (h *Hub) sendQueued(s *websocket.Conn, to catalog.VMID, q *packetQueue) {
 	closed := h.receiveReturns(s, to)
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
@@ -171,8 +172,9 @@
 			if !h.ping(s) {
 				return
 			}
-		case data := <-q:
-			if !h.write(s, data) {
+		case p := <-q.packets:
+			q.taken(p)
+			if !h.write(s, p) {
 				return
 			}
 		}
@@ -186,9 +188,3 @@
 	defer cancel()
 	return s.Ping(ctx) == nil
 }
-
-func (h *Hub) write(s *websocket.Conn, data []byte) bool {
-	ctx, cancel := context.WithTimeout(h.context, writeTimeout)
-	defer cancel()
-	return s.Write(ctx, websocket.MessageBinary, data) == nil
-}
--- a/link/return_path.go
+++ b/link/return_path.go
@@ -20,7 +20,7 @@
 // that peer.
 type returnPath struct {
 	socket *websocket.Conn
-	queue  chan []byte
+	queue  *packetQueue
 }
 
 // addReturnPath makes a connection that the peer has opened the one over which
@@ -28,7 +28,7 @@
 // have lost without this process noticing. The function that it returns must be
 // called once the connection has ended.
 func (h *Hub) addReturnPath(from catalog.VMID, s *websocket.Conn) (remove func()) {
-	p := &returnPath{socket: s, queue: make(chan []byte, peerQueueLength)}
+	p := &returnPath{socket: s, queue: newPacketQueue()}
 	ended := make(chan struct{})
 	h.mutex.Lock()
 	h.returnPaths[from] = p
@@ -36,8 +36,9 @@
 	go func() {
 		for {
 			select {
-			case data := <-p.queue:
-				if !h.write(s, data) {
+			case next := <-p.queue.packets:
+				p.queue.taken(next)
+				if !h.write(s, next) {
 					h.removeReturnPath(from, p)
 					_ = s.CloseNow()
 					return
@@ -64,13 +65,13 @@
 // queueFor returns the queue for messages to a peer, nil if the peer is unknown.
 // If the peer has not connected to this process, queueFor connects to the peer.
 // The mutex must be held.
-func (h *Hub) queueFor(to catalog.VMID) chan []byte {
+func (h *Hub) queueFor(to catalog.VMID) *packetQueue {
 	if p := h.returnPaths[to]; p != nil {
 		return p.queue
 	}
 	q := h.queues[to]
 	if q == nil && h.options.Address(to) != "" {
-		q = make(chan []byte, peerQueueLength)
+		q = newPacketQueue()
 		h.queues[to] = q
 		go h.maintainConnection(to, q)
 	}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -342,11 +342,15 @@
 		return
 	}
 	a.Services, a.RemovedServices = c.state.ServicesSince(have)
-	a.Routes, a.RemovedRoutes = c.state.RoutesSince(have)
+	if a.Full = have == 0; a.Full {
+		// The same list for all entries is encoded once for all of them.
+		a.Routes = c.state.Routes
+	} else {
+		a.Routes, a.RemovedRoutes = c.state.RoutesSince(have)
+	}
 	a.TransactionIdle = c.state.TransactionIdle
 	a.KeysRequired = c.state.KeysRequired
 	a.Organisations, a.RemovedOrganisations = c.state.OrganisationsSince(have)
-	a.Full = have == 0
 	if c.state.DrainedVersion > have {
 		a.Drained, a.HasDrained = c.state.Drained, true
 	}
