control: bound the upstreams in one answer

A new leader sent each entry all upstreams in one answer: 550 kB with the configuration at 3,600 upstreams, 1,200 services and 3,152 routes. In the model of 300 entries up to 243 MB waited at the leader for their links, of 280 MB that a control VM has. The leases in later answers waited behind them.

An answer now has at most 320 upstreams, the least recently changed first, and a mark that states how far the entry has come. The next report asks for those after it.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -24,6 +24,9 @@
 	// A snapshot is due after fleetSnapshotAfter records of the log or
 	// fleetSnapshotAfterBytes, as in package daemon.
 	fleetSnapshotAfter, fleetSnapshotAfterBytes = 256, 1 << 20
+	// fleetConnections and fleetSlots are the limits of each upstream. With the
+	// limits of the other models every entry would own every service.
+	fleetConnections, fleetSlots = 64, 4
 	// documentBytesPerRoute is the length of the compressed configuration file
 	// for each route.
 	documentBytesPerRoute = 20
@@ -113,11 +116,20 @@
 	if to.isControl {
 		return 0
 	}
-	f.queued[from.id] += len(data)
+	own := len(data)
+	if a := m.Message.Answer; a != nil && len(a.Routes) >= link.MinSharedRoutes {
+		// The hub holds the routes once for all receivers.
+		rest := *a
+		rest.Routes = nil
+		if data, err := link.Encode(wire.Message{Answer: &rest}); err == nil {
+			own = len(data)
+		}
+	}
+	f.queued[from.id] += own
 	f.result.MaxQueued = max(f.result.MaxQueued, f.queued[from.id])
 	f.linkFreeAt[m.To] = max(f.linkFreeAt[m.To], w.now).Add(time.Second * time.Duration(len(data)) / entryLinkRate)
 	d := f.linkFreeAt[m.To].Sub(w.now)
-	w.schedule(d, func() { f.queued[from.id] -= len(data) })
+	w.schedule(d, func() { f.queued[from.id] -= own })
 	return d
 }
 
@@ -125,13 +137,22 @@
 func PlayFleet(l FleetLoad) (Fleet, error) {
 	f := &fleetMeter{
 		result: Fleet{Sent: map[string]int{}}, queued: map[catalog.VMID]int{}, versions: map[catalog.VMID]catalog.Version{},
-		linkFreeAt: map[catalog.VMID]catalog.Instant{}, random: rand.New(rand.NewPCG(l.Seed, 2)), version: 1,
+		linkFreeAt: map[catalog.VMID]catalog.Instant{}, random: rand.New(rand.NewPCG(l.Seed, 2)), version: 2,
 	}
 	w := newRecoverySim(l.RecoveryLoad)
 	w.meter, w.controlCount, w.isOutage = f, l.Controls, true
+	w.slots = fleetSlots
 	w.snapshotAfter, w.snapshotAfterBytes = fleetSnapshotAfter, fleetSnapshotAfterBytes
 	state := newState(l.Services, l.Instances)
-	state.Routes = newRoutes(l.Routes, l.Services)
+	// Services and routes that no change has marked would not be sent to entries.
+	services := state.Services
+	for n := range services {
+		services[n].Limits = catalog.Limits{Connections: fleetConnections, Reserved: 2, Slots: 1}
+	}
+	state.Services = nil
+	state.Apply(registry.Change{Adopt: &registry.AdoptConfiguration{
+		Version: f.version, Services: services, Routes: newRoutes(l.Routes, l.Services),
+	}})
 	if err := w.start(state); err != nil {
 		return Fleet{}, errors.Trace(err)
 	}
--- a/capacity/recovery.go
+++ b/capacity/recovery.go
@@ -102,7 +102,7 @@
 	sequence uint64
 	// The fields below differ in plays of PlayFleet.
 	meter                             *fleetMeter
-	controlCount                      int
+	controlCount, slots               int
 	snapshotAfter, snapshotAfterBytes int
 }
 
@@ -178,7 +178,7 @@
 		for i := range w.load.Instances {
 			// Control records no roles, so a new leader learns these again.
 			a := newAnnouncement(s, i, 0)
-			a.Role, a.Position = catalog.RoleUnknown, catalog.Position{}
+			a.Role, a.Position, a.Slots = catalog.RoleUnknown, catalog.Position{}, w.slots
 			state.Upstreams = append(state.Upstreams, a)
 		}
 	}
@@ -264,6 +264,7 @@
 	w.schedule(upstreamHeartbeat, func() { w.announce(service, instance) })
 	w.sequence++
 	a := newAnnouncement(service, instance, w.sequence)
+	a.Slots = w.slots
 	if w.meter != nil {
 		w.meter.announceToAny(w, a)
 	} else if k := w.vms[w.leader]; k != nil {
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -149,6 +149,35 @@
 	return v.upstreamsMark.Revision
 }
 
+// maxUpstreamsPerAnswer bounds the upstreams in one answer to about 32 kB, so that
+// the leases in later answers don't wait for a second behind a list of thousands
+// of upstreams, and a leader of 300 entries doesn't hold 90 MB of such lists.
+const maxUpstreamsPerAnswer = 320
+
+// upstreamsSince returns the first upstreams that changed after a revision, and the
+// revision that an entry has once it knows them. Upstreams of services that are not
+// configured yet are included, since the revision states that the entry has all.
+func (c *Control) upstreamsSince(since uint64) ([]catalog.Announcement, uint64) {
+	var changed []*upstreamView
+	for _, u := range c.upstreams {
+		if u.revision > since {
+			changed = append(changed, u)
+		}
+	}
+	// Each upstream has a revision of its own, so the order is unique.
+	slices.SortFunc(changed, func(x, y *upstreamView) int { return cmp.Compare(x.revision, y.revision) })
+	revision := c.revision
+	if len(changed) > maxUpstreamsPerAnswer {
+		changed = changed[:maxUpstreamsPerAnswer]
+		revision = changed[maxUpstreamsPerAnswer-1].revision
+	}
+	out := make([]catalog.Announcement, 0, len(changed))
+	for _, u := range changed {
+		out = append(out, u.announcement)
+	}
+	return out, revision
+}
+
 // addUpstreamsToAnswer adds the upstreams that changed after the revision that
 // the entry has confirmed.
 func (c *Control) addUpstreamsToAnswer(a *wire.Answer, v *entryView) {
@@ -156,20 +185,15 @@
 		return
 	}
 	since := c.confirmedRevision(v)
-	v.sentRevision = c.revision
-	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: c.revision}
+	revision := c.revision
+	if since != revision {
+		a.Upstreams, revision = c.upstreamsSince(since)
+	}
+	v.sentRevision = revision
+	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: revision}
 	if since == c.revision {
 		return
 	}
-	// Upstreams of services that are not configured yet are included, since
-	// UpstreamsMark states that the entry has all upstreams.
-	for _, id := range slices.Sorted(maps.Keys(c.upstreamsByService)) {
-		for _, u := range c.instancesOf(id) {
-			if u.revision > since {
-				a.Upstreams = append(a.Upstreams, u.announcement)
-			}
-		}
-	}
 	v.upstreamsArriveAt = c.now.Add(c.options.Timings.ReportInterval + time.Duration(len(a.Upstreams))*upstreamTransferTime)
 }
 
