control: judge no primary by reports that waited

A leader that was not scheduled for a while first handled the reports that had waited. Its clock had moved on, so that observations from before the pause said that a primary had been silent for too long, and it replaced a primary that had answered meanwhile.

A leader that had no event for half a report interval, although it has a timer every 20 ms, now judges no primary for two report intervals, and then only by reports that it handled after the pause.

TestLateLeaderReplacesNoPrimary fails without it.

--- a/node/control.go
+++ b/node/control.go
@@ -84,6 +84,8 @@
 	joinRequests map[catalog.VMID]catalog.Incarnation
 	// observations holds what each entry last observed of each upstream.
 	observations map[catalog.InstanceID]map[catalog.VMID]observation
+	// lateUntil is until when no observation counts as this VM was late.
+	lateUntil catalog.Instant
 	// suspectUntil holds until when every sweep checks a suspected service.
 	suspectUntil            map[catalog.ServiceID]catalog.Instant
 	nextFullCheckAt         catalog.Instant
@@ -152,7 +154,7 @@
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
-	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt = 0, 0, 0
+	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt, c.lateUntil = 0, 0, 0, 0
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
@@ -164,10 +166,11 @@
 
 // Step handles one event and returns the effects to execute, in order.
 func (c *Control) Step(e Event) []Effect {
+	c.effects = nil
+	c.detectLateness(e.Now)
 	if e.Now.After(c.now) {
 		c.now = e.Now
 	}
-	c.effects = nil
 	c.handle(e.Input)
 	c.runDue()
 	return c.effects
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -178,11 +178,16 @@
 // report. Refusals do not count if any entry reached the primary after them.
 func (c *Control) isPrimaryDown(p catalog.Primary) bool {
 	t := c.options.Timings
+	if c.now.Before(c.lateUntil) {
+		return false
+	}
+	// Reports from before this VM was late don't count any more.
+	lateAt := c.lateUntil.Add(-lateReportIntervals * t.ReportInterval)
 	refusedSites, failedSites, reportingSites := map[catalog.SiteID]bool{}, map[catalog.SiteID]bool{}, map[catalog.SiteID]bool{}
 	var lastAlive, lastRefused catalog.Instant
 	for vm, o := range c.observations[p.Instance] {
 		v := c.entries[vm]
-		if v == nil || c.now.Sub(v.reportedAt) > evidenceReportIntervals*t.ReportInterval {
+		if v == nil || c.now.Sub(v.reportedAt) > evidenceReportIntervals*t.ReportInterval || v.reportedAt.Before(lateAt) {
 			continue
 		}
 		reportingSites[v.site] = true
@@ -205,6 +210,27 @@
 	return len(failedSites) >= required && lastAlive != 0 && c.now.Sub(lastAlive) >= t.SuspectTimeout
 }
 
+// detectLateness notes that this VM was not scheduled for a while. The reports that
+// arrived meanwhile are handled later than they were sent, and those of an upstream
+// that answers again may follow ones that say that it does not. The observations
+// count again once each entry must have sent another report.
+func (c *Control) detectLateness(now catalog.Instant) {
+	interval := c.options.Timings.ReportInterval
+	if c.isLeader && now.Sub(c.now) > interval/lateDivisor {
+		c.lateUntil = now.Add(lateReportIntervals * interval)
+		c.emit(Count{Name: "control-late", Delta: 1})
+	}
+}
+
+const (
+	// lateDivisor divides the report interval; the result is how long a leader,
+	// which has a timer every sweepInterval, may be without an event.
+	lateDivisor = 2
+	// lateReportIntervals is how many report intervals after such a time the
+	// reports sent within it may still be waiting.
+	lateReportIntervals = 2
+)
+
 // evidenceReportIntervals is how many report intervals may pass without a report
 // of an entry before its observations are ignored.
 const evidenceReportIntervals = 4
