entry: don't repeat idle primaries in each report

An owner reports each primary of the services that it owns. Where upstreams come from control, a primary without requests isn't probed, so its last answer is soon older than what a report may omit, and the observation was repeated five times a second.

An idle primary that has not answered since it was reported is now omitted for 5 s. Control derives nothing for it from AliveWithin; the entry reports it again as soon as it answers or fails.

--- a/node/control_report.go
+++ b/node/control_report.go
@@ -69,7 +69,10 @@
 	reportedAt catalog.Instant
 	// aliveAt is when the upstream last responded to the entry, zero if it
 	// never did.
-	aliveAt  catalog.Instant
+	aliveAt catalog.Instant
+	// isIdle is set if that was so long before the report that the entry reports
+	// the upstream again once it answers.
+	isIdle   bool
 	role     catalog.Role
 	position catalog.Position
 }
@@ -216,6 +219,7 @@
 		recorded := observation{evidence: o.Evidence, gatheredAt: c.now.Add(-o.Age), reportedAt: c.now, role: o.Role, position: o.Position}
 		if o.AliveAge >= 0 {
 			recorded.aliveAt = c.now.Add(-o.AliveAge)
+			recorded.isIdle = isIdleAnswer(o.AliveAge, c.options.Timings)
 		}
 		if c.observations[o.Instance] == nil {
 			c.observations[o.Instance] = map[catalog.VMID]observation{}
@@ -232,9 +236,10 @@
 // lastAliveAt returns when an upstream last responded to the entry. A report may
 // omit a healthy upstream that a recent report included. AliveWithin is then the
 // longest time since any omitted upstream responded. It does not apply to an
-// observation that the last report included.
+// observation that the last report included, nor to an upstream that was idle,
+// which the entry reports again as soon as it has answered.
 func (v *entryView) lastAliveAt(o observation) catalog.Instant {
-	if o.reportedAt == v.reportedAt || v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.reportedAt.Sub(o.reportedAt) > 2*healthyRepeatInterval {
+	if o.isIdle || o.reportedAt == v.reportedAt || v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.reportedAt.Sub(o.reportedAt) > 2*healthyRepeatInterval {
 		return o.aliveAt
 	}
 	return max(o.aliveAt, v.reportedAt.Add(-v.aliveWithin))
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -214,8 +214,10 @@
 	// and the sequence of the report.
 	reportedEvidence wire.Evidence
 	reportedRole     catalog.Role
-	reportedAt       catalog.Instant
-	reportedIn       uint64
+	// reportedAliveAt is aliveAt as of that report.
+	reportedAliveAt catalog.Instant
+	reportedAt      catalog.Instant
+	reportedIn      uint64
 
 	nextProbe catalog.Instant
 	// probeConn is the connection of the probe in flight, zero if there is
--- a/node/entry_subscribe.go
+++ b/node/entry_subscribe.go
@@ -2,7 +2,9 @@
 
 import (
 	"sort"
+	"time"
 
+	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
@@ -75,10 +77,35 @@
 // upstream. It may if the upstream is still healthy in the same role, and the
 // present leader has acknowledged a report of the last second that said so.
 func (e *Entry) canOmitObservation(i *entryInstance) bool {
+	return e.isReportedAlive(i, healthyRepeatInterval) && e.now.Sub(i.aliveAt) <= 2*e.options.Timings.ProbeInterval &&
+		!isIdleAnswer(i.reportedAt.Sub(i.reportedAliveAt), e.options.Timings)
+}
+
+// isReportedAlive reports whether the upstream is alive in the same role as in a
+// report that the present leader has acknowledged and that is at most as old as
+// the interval.
+func (e *Entry) isReportedAlive(i *entryInstance, interval time.Duration) bool {
 	p := &e.report
-	return p.leader != "" && p.acknowledged[i.reportedIn] && e.now.Before(i.reportedAt.Add(healthyRepeatInterval)) &&
-		i.evidence == wire.EvidenceAlive && i.reportedEvidence == wire.EvidenceAlive && i.reportedRole == i.role &&
-		e.now.Sub(i.aliveAt) <= 2*e.options.Timings.ProbeInterval
+	return p.leader != "" && p.acknowledged[i.reportedIn] && e.now.Before(i.reportedAt.Add(interval)) &&
+		i.evidence == wire.EvidenceAlive && i.reportedEvidence == wire.EvidenceAlive && i.reportedRole == i.role
+}
+
+// idleRepeatInterval is how long a report may omit an upstream that was not used
+// since it was reported. Nothing is derived from such an omission.
+const idleRepeatInterval = 5 * time.Second
+
+// isUnchangedIdle reports whether control knows an upstream as idle and it has not
+// answered since. An entry owns dozens of services of a large fleet, most of them
+// without requests, and repeating them in each report costs it 20 kB a second.
+func (e *Entry) isUnchangedIdle(i *entryInstance) bool {
+	return e.isReportedAlive(i, idleRepeatInterval) && i.aliveAt == i.reportedAliveAt &&
+		isIdleAnswer(i.reportedAt.Sub(i.reportedAliveAt), e.options.Timings)
+}
+
+// isIdleAnswer reports whether an upstream whose last answer was this old when it
+// was reported counts as idle. AliveWithin does not apply to such an observation.
+func isIdleAnswer(age time.Duration, t catalog.Timings) bool {
+	return age > 2*t.ProbeInterval
 }
 
 // addObservation adds the observation of an upstream to a report unless control
@@ -88,11 +115,15 @@
 		// Control queries the replicas itself when it has to elect one of them.
 		return
 	}
+	if e.isUnchangedIdle(i) {
+		return
+	}
 	if e.canOmitObservation(i) {
 		m.AliveWithin = max(m.AliveWithin, e.now.Sub(i.aliveAt), 1)
 		return
 	}
 	i.reportedEvidence, i.reportedRole, i.reportedAt, i.reportedIn = i.evidence, i.role, e.now, m.Sequence
+	i.reportedAliveAt = i.aliveAt
 	m.Observations = append(m.Observations, e.newObservation(i))
 }
 
