--- a/node/control.go
+++ b/node/control.go
@@ -36,8 +36,11 @@
 	Services []catalog.Service
 	// Saved is the state that was loaded from the data folder at the start.
 	Saved         quorum.PersistentState
-	SnapshotAfter int    // committed records after which a snapshot is made
-	Seed          uint64 // of the random election timeouts
+	SnapshotAfter int // committed records after which a snapshot is made
+	// SnapshotAfterBytes bounds the committed records that are kept in memory, as
+	// quorum.Settings.SnapshotAfterBytes does.
+	SnapshotAfterBytes int
+	Seed               uint64 // of the random election timeouts
 }
 
 // Control is the reducer of a control VM.
@@ -84,6 +87,8 @@
 	joinRequests map[catalog.VMID]catalog.Incarnation
 	// observations holds what each entry last observed of each upstream.
 	observations map[catalog.InstanceID]map[catalog.VMID]observation
+	// lateUntil is until when no observation counts as this VM was late.
+	lateUntil catalog.Instant
 	// suspectUntil holds until when every sweep checks a suspected service.
 	suspectUntil            map[catalog.ServiceID]catalog.Instant
 	nextFullCheckAt         catalog.Instant
@@ -131,8 +136,8 @@
 	c.quorum = quorum.New(quorum.Settings{
 		HeartbeatInterval: o.Timings.HeartbeatInterval,
 		ElectionTimeout:   o.Timings.ElectionTimeout,
-		SnapshotAfter:     o.SnapshotAfter,
-		Seed:              o.Seed,
+		SnapshotAfter:     o.SnapshotAfter, SnapshotAfterBytes: o.SnapshotAfterBytes,
+		Seed: o.Seed,
 	}, now, o.Saved)
 	c.entryCounts = map[catalog.SiteID]int{}
 	for _, site := range o.Entries {
@@ -155,7 +160,7 @@
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
-	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt = 0, 0, 0
+	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt, c.lateUntil = 0, 0, 0, 0
 	c.resetLimits()
 	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
@@ -169,10 +174,11 @@
 
 // Step handles one event and returns the effects to execute, in order.
 func (c *Control) Step(e Event) []Effect {
+	c.effects = nil
+	c.detectLateness(e.Now)
 	if e.Now.After(c.now) {
 		c.now = e.Now
 	}
-	c.effects = nil
 	c.handle(e.Input)
 	c.runDue()
 	return c.effects
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -76,7 +76,10 @@
 	reportedAt catalog.Instant
 	// aliveAt is when the upstream last responded to the entry, zero if it
 	// never did.
-	aliveAt  catalog.Instant
+	aliveAt catalog.Instant
+	// isIdle is set if that was so long before the report that the entry reports
+	// the upstream again once it answers.
+	isIdle   bool
 	role     catalog.Role
 	position catalog.Position
 }
@@ -225,6 +228,7 @@
 		recorded := observation{evidence: o.Evidence, gatheredAt: c.now.Add(-o.Age), reportedAt: c.now, role: o.Role, position: o.Position}
 		if o.AliveAge >= 0 {
 			recorded.aliveAt = c.now.Add(-o.AliveAge)
+			recorded.isIdle = isIdleAnswer(o.AliveAge, c.options.Timings)
 		}
 		if c.observations[o.Instance] == nil {
 			c.observations[o.Instance] = map[catalog.VMID]observation{}
@@ -241,9 +245,10 @@
 // lastAliveAt returns when an upstream last responded to the entry. A report may
 // omit a healthy upstream that a recent report included. AliveWithin is then the
 // longest time since any omitted upstream responded. It does not apply to an
-// observation that the last report included.
+// observation that the last report included, nor to an upstream that was idle,
+// which the entry reports again as soon as it has answered.
 func (v *entryView) lastAliveAt(o observation) catalog.Instant {
-	if o.reportedAt == v.reportedAt || v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.reportedAt.Sub(o.reportedAt) > 2*healthyRepeatInterval {
+	if o.isIdle || o.reportedAt == v.reportedAt || v.aliveWithin == 0 || o.evidence != wire.EvidenceAlive || v.reportedAt.Sub(o.reportedAt) > 2*healthyRepeatInterval {
 		return o.aliveAt
 	}
 	return max(o.aliveAt, v.reportedAt.Add(-v.aliveWithin))
@@ -352,12 +357,16 @@
 	if have >= c.state.Version {
 		return
 	}
-	a.Services, a.RemovedServices = c.state.ServicesSince(have)
-	a.Routes, a.RemovedRoutes = c.state.RoutesSince(have)
+	if a.Full = have == 0; a.Full {
+		// The same lists for all entries are encoded once for all of them.
+		a.Services, a.Routes = c.state.Services, c.state.Routes
+	} else {
+		a.Services, a.RemovedServices = c.state.ServicesSince(have)
+		a.Routes, a.RemovedRoutes = c.state.RoutesSince(have)
+	}
 	a.TransactionIdle = c.state.TransactionIdle
 	a.KeysRequired = c.state.KeysRequired
 	a.Organisations, a.RemovedOrganisations = c.state.OrganisationsSince(have)
-	a.Full = have == 0
 	if c.state.DrainedVersion > have {
 		a.Drained, a.HasDrained = c.state.Drained, true
 	}
