node: keep limits out of the plays of fair queueing

The plays use the configured rate of an organisation as its weight and let organisations send several times that rate. Since rates are also limits, entries refused a part of the requests on arrival, before they reached the queue that the plays test. TestRefusalsWithinQueueLimit failed for that reason: 1 of 438 requests of the organisation within its share was refused as over its limit.

Control now grants each organisation of these plays a share of the limit that is never reached. No bound changes; the plays are stricter, because the whole excess reaches the queue.

--- a/node/entry_fair_test.go
+++ b/node/entry_fair_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/organisation"
+	"github.com/kingcupknot/kingcupknot/wire"
 )
 
 // fairCaller describes the callers of one organisation.
@@ -63,6 +64,8 @@
 	p.answer.Version, p.answer.KeysRequired = 2, !p.isUnfair
 	for n, c := range p.callers {
 		p.answer.Organisations = append(p.answer.Organisations, catalog.Organisation{ID: organisationOf(n), Rate: c.weight})
+		// Rates are weights here. Limits would refuse requests before they reach the queue.
+		p.answer.Limits = append(p.answer.Limits, wire.OrganisationLimit{Organisation: organisationOf(n), Rate: 1e6, Burst: 1e6, Length: 3 * time.Second})
 	}
 	p.advance(time.Second)
 	p.effects = nil
