node: let shares decide who gets connections and slots

Where organisations have their own connections, an entry ran one statement per slot. Requests above their share leave one slot free, as browsing does, which is half of an upstream with two slots: it lost 42% of its capacity, and with it the shares by weight. With one statement per slot the measured service time also no longer includes the wait at the upstream, so the expected wait of an excess request ignored the requests of others that arrive later and go ahead of it. Such requests were accepted and refused after 110 to 141 ms.

- A slot is only left free above one statement per slot.
- The expected wait of a request above its share is divided by the part of the upstream that its organisation has used lately.
- An owner runs its part of two statements per slot while it holds the connections it wants, and otherwise up to a fourth of its connections, but at least its part of one per slot.
The owners' parts of two per slot add up to two per slot.
- Opening a connection is charged to the organisation it is for, up to 12 ms of a slot.
The allowance includes one opening.
- A connection without waiting requests is closed first and at once; of the others the one whose requests have the highest tag.
An organisation takes one of these while it has less than its share of the places by weight, after an eighth of its objective but at most 40 ms.
- No connection is closed for an opening that can't start yet.

--- a/connplace/connplace.go
+++ b/connplace/connplace.go
@@ -103,25 +103,42 @@
 	Nth int
 	// Reserved is set if the connection was opened for a request that has not run
 	// yet.
-	Reserved  bool
+	Reserved bool
+	// IsNeeded is set if requests of the organisation wait. Tag is the lowest of their
+	// tags of fair queueing.
+	IsNeeded  bool
+	Tag       float64
 	IdleSince catalog.Instant
 }
 
-// SortByUse sorts idle connections by expected use, the lowest first, with
-// reserved ones last. Of equal ones the one that is idle for longest comes first.
+// SortByUse sorts idle connections by expected use, the lowest first. Those that are
+// needed come after the others, the one with the highest tag first, and reserved ones
+// come last. Of equal ones the one that is idle for longest comes first.
 func (u *Uses) SortByUse(list []Candidate, hold time.Duration, now catalog.Instant) {
 	use := make(map[catalog.ConnID]float64, len(list))
 	for _, c := range list {
 		use[c.Conn] = u.ExpectedUse(c.Organisation, c.Nth, hold, now)
-		if c.Reserved {
-			use[c.Conn] = math.Inf(1)
-		}
 	}
 	slices.SortFunc(list, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(use[a.Conn], use[b.Conn]), cmp.Compare(a.IdleSince, b.IdleSince), cmp.Compare(a.Conn, b.Conn))
+		return cmp.Or(
+			compareFlags(a.Reserved, b.Reserved), compareFlags(a.IsNeeded, b.IsNeeded), cmp.Compare(b.Tag, a.Tag),
+			cmp.Compare(use[a.Conn], use[b.Conn]), cmp.Compare(a.IdleSince, b.IdleSince), cmp.Compare(a.Conn, b.Conn),
+		)
 	})
 }
 
+// compareFlags orders false before true.
+func compareFlags(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // Wanted returns how many connections the organisations want: for each one as many
 // as are worth keeping, but no more than most, and at least as many as inUse counts
 // for it.
--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -202,6 +202,26 @@
 	return f != nil && f.used > allowance+multiple*f.weight*c.used/c.usedWeight
 }
 
+// UsedPart returns the part of the use of all flows that is a flow's, or the part by
+// weight that it is entitled to among the flows in use if that is larger.
+func (c *Clock[K]) UsedPart(key K) float64 {
+	f := c.flows[key]
+	if f == nil || f.used == 0 {
+		return 1
+	}
+	return min(max(f.used/c.used, f.weight/c.usedWeight), 1)
+}
+
+// EntitledPart returns the part by weight that a flow of the given weight is entitled
+// to among the flows in use, with itself counted as one of them.
+func (c *Clock[K]) EntitledPart(key K, weight float64) float64 {
+	sum := c.usedWeight
+	if f := c.flows[key]; f == nil || f.used == 0 {
+		sum += weight
+	}
+	return min(weight/sum, 1)
+}
+
 // Active returns the number of flows with waiting requests.
 func (c *Clock[K]) Active() int { return c.active }
 
--- a/node/entry_fair.go
+++ b/node/entry_fair.go
@@ -87,7 +87,28 @@
 
 func (e *Entry) fairRequest(r *entryRequest) fairqueue.Request {
 	cost := r.expectedCost()
-	return fairqueue.Request{Cost: cost, Weight: e.weight(r.Organisation), Allowance: allowedRequests * cost}
+	return fairqueue.Request{Cost: cost, Weight: e.weight(r.Organisation), Allowance: r.allowance()}
+}
+
+// allowance returns the cost by which the request's organisation may run ahead of its
+// share. It includes one opening, which a small organisation needs for many of its
+// requests.
+func (r *entryRequest) allowance() float64 {
+	out := allowedRequests * r.expectedCost()
+	if i := r.service.primaryInstance(); i != nil && r.Organisation != "" {
+		out += i.place.openingCost()
+	}
+	return out
+}
+
+// chargeOpening charges an organisation for a connection that is opened for it, since
+// opening it occupies a slot of the upstream.
+func (e *Entry) chargeOpening(i *entryInstance, id catalog.OrganisationID) {
+	if e.organisations == nil || id == "" {
+		return
+	}
+	cost := i.place.openingCost()
+	i.service.organisationClock().Run(id, fairqueue.Request{Cost: cost, Weight: e.weight(id), Allowance: cost})
 }
 
 // expectedCost returns the time in seconds that the request is expected to occupy
@@ -171,7 +192,7 @@
 	isContended := s.clock.Active() > 1
 	for _, q := range s.waiting {
 		for _, r := range q {
-			r.isAboveShare = r.waitsByTag && isContended && s.clock.IsAboveShare(r.Organisation, aboveShareFactor, allowedRequests*r.expectedCost())
+			r.isAboveShare = r.waitsByTag && isContended && s.clock.IsAboveShare(r.Organisation, aboveShareFactor, r.allowance())
 		}
 	}
 }
@@ -207,12 +228,18 @@
 // of it would be refused later because it misses its objective. Since those ahead
 // have lower tags or are more urgent, the request belongs to an organisation above
 // its share; it is refused at once, so that its caller does not wait in vain.
-// Without running requests the length of the wait is unknown.
+// Without running requests the length of the wait is unknown. Requests of others that
+// arrive later also go ahead of it, so it waits as long as the upstream takes at the
+// part of it that the organisation has used lately.
 func (e *Entry) exceedsShare(s *entryService, r *entryRequest, n int) bool {
 	if !r.waitsByTag || r.Objective <= 0 || len(s.running) == 0 || !e.isOverloaded(s) {
 		return false
 	}
-	return e.now.Sub(r.arrivedAt)+r.Waited+s.estimatedWait(n) > r.Objective/2
+	wait := float64(s.estimatedWait(n))
+	if r.isAboveShare {
+		wait /= s.clock.UsedPart(r.Organisation)
+	}
+	return e.now.Sub(r.arrivedAt)+r.Waited+time.Duration(wait) > r.Objective/2
 }
 
 // advanceVirtualTime moves the virtual time of the service to the tag of the
--- a/node/entry_owner_organisation.go
+++ b/node/entry_owner_organisation.go
@@ -17,12 +17,41 @@
 // organisation, its network link would limit them.
 const ratePerOwner = 25
 
-// organisationConcurrencyFactor replaces siteConcurrencyFactor where there are
-// organisations. While a statement waits at a saturated upstream, its connection
-// can't run another one and its place is not free for another organisation, and
-// opening a connection waits there too. The requests of one entry's callers go to
-// all owners, so a site fills an upstream's slots with one statement for each.
-const organisationConcurrencyFactor = 1
+// connsPerStatement is how many connections to an upstream an entry must be allowed
+// for each statement beyond one per slot, while it wants more connections than that.
+// While a statement waits at a saturated upstream, its connection can't run another
+// one and its place is not free for another organisation. A site that serves alone
+// has about three connections for each of its two statements per slot and must fill
+// the slots; with three sites each has one, and openings occupy the slots.
+const connsPerStatement = 4
+
+// organisationsLimit returns how many statements this entry may run at an upstream
+// as one of the given number of owners: its part of two statements per slot or, where
+// connections are scarce, of one statement per slot.
+func (e *Entry) organisationsLimit(i *entryInstance, owners int) int {
+	least, most := e.organisationsParts(i.service, i.slots(), owners)
+	granted := e.connLimit(i, e.now)
+	if i.place.wanted <= granted {
+		return most
+	}
+	return max(least, min(most, granted/connsPerStatement))
+}
+
+// unreservedLimit returns the number of statements up to which browsing leaves no
+// slot free, zero without organisations. An entry that may only run one statement per
+// slot would otherwise leave a part of the upstream unused.
+func (e *Entry) unreservedLimit(i *entryInstance) int {
+	if e.organisations == nil || !e.options.UpstreamsFromControl {
+		return 0
+	}
+	least, _ := e.organisationsParts(i.service, i.slots(), e.sharingOwners(i.service))
+	return least
+}
+
+// sharingOwners returns the number of owners that share what the site may run.
+func (e *Entry) sharingOwners(s *entryService) int {
+	return max(min(e.ownerCount(s), len(e.owners.entries)), 1)
+}
 
 // ownerFor returns the owner that runs the requests of an organisation, or an
 // empty id if there are no owners. The requests of an organisation meet at one
@@ -72,45 +101,79 @@
 	return ranked
 }
 
-// ownerPart is the part of the work of all organisations, from 0 to 1, that an
-// entry is expected to run as an owner of a service. The other fields identify what
-// it was computed from.
-type ownerPart struct {
-	share    float64
+// ownerParts holds the parts of the work of all organisations, from 0 to 1, that the
+// owners of a service are expected to run. The other fields identify what they were
+// computed from.
+type ownerParts struct {
+	// shares has the order of the owners; own is the index of this entry, or -1.
+	shares   []float64
+	own      int
 	from     *organisation.Directory
 	mark     uint64
 	services int
-	owners   int
+	// one and two are the last results of organisationsParts, for these slots.
+	slots, one, two int
 }
 
-// organisationsPart returns how many of the site's statements at an upstream this
-// entry may run because of the organisations whose requests it runs. The requests
-// of an organisation meet at one owner, so owners have unequal work: the largest
-// organisation of a Zipf distribution with exponent 1.2 sends 29% of it, while the
-// even part of one of four owners is 25%. The sum over the owners stays below twice
-// of what the site may run, since no owner gets more than the larger of its even
-// part and this one.
-func (e *Entry) organisationsPart(s *entryService, siteLimit int) int {
-	if e.organisations == nil || e.owners.mark == 0 {
-		return 0
+// organisationsParts returns how many statements this entry may run, as one of the
+// owners, at an upstream with the given slots, if the site runs one statement per
+// slot and if it runs two. The requests of an organisation meet at one owner, so
+// owners have unequal work: the largest organisation of a Zipf distribution with
+// exponent 1.2 sends 29% of it, while the even part of one of four owners is 25%.
+// Of one statement per slot, an owner gets its even part or that of its organisations,
+// whichever is larger. What this leaves of two per slot goes one by one to the owner
+// that lacks most of its organisations' part.
+func (e *Entry) organisationsParts(s *entryService, slots, owners int) (one, two int) {
+	even := func(n int) int { return max((n+owners-1)/owners, 1) }
+	p := e.ownerParts(s)
+	if p.own < 0 {
+		return even(slots), even(siteConcurrencyFactor * slots)
 	}
-	e.rankOwners()
-	now := ownerPart{share: s.part.share, from: e.organisations, mark: e.owners.mark, services: len(e.serviceIDs), owners: e.ownerCount(s)}
-	if s.part != now {
-		now.share = e.ownerShare(s)
-		s.part = now
+	if p.slots == slots {
+		return p.one, p.two
 	}
-	return int(math.Ceil(s.part.share * float64(siteLimit)))
+	most, total := float64(siteConcurrencyFactor*slots), 0
+	parts := make([]int, len(p.shares))
+	for n, share := range p.shares {
+		parts[n] = max(even(slots), int(math.Ceil(share*float64(slots))))
+		total += parts[n]
+	}
+	p.slots, p.one = slots, parts[p.own]
+	for ; total < siteConcurrencyFactor*slots; total++ {
+		lacking := 0
+		for n, share := range p.shares {
+			if share*most-float64(parts[n]) > p.shares[lacking]*most-float64(parts[lacking]) {
+				lacking = n
+			}
+		}
+		parts[lacking]++
+	}
+	p.two = parts[p.own]
+	return p.one, p.two
 }
 
-// ownerShare returns the sum of the configured rates of the organisations whose
-// requests this entry runs as an owner of the service, relative to that of all
-// organisations. Organisations without a limit count as one with the mean rate.
-func (e *Entry) ownerShare(s *entryService) float64 {
+// ownerParts returns the parts of the owners of a service, which it computes when
+// what they depend on has changed.
+func (e *Entry) ownerParts(s *entryService) *ownerParts {
+	if e.owners.mark == 0 {
+		return &ownerParts{own: -1}
+	}
+	e.rankOwners()
 	owners := s.owners[:min(e.ownerCount(s), len(s.owners))]
-	if !slices.Contains(owners, e.options.VM) {
-		return 0
+	p := &s.parts
+	if p.from != e.organisations || p.mark != e.owners.mark || p.services != len(e.serviceIDs) || len(p.shares) != len(owners) {
+		*p = ownerParts{
+			shares: e.ownerShares(s, owners), own: slices.Index(owners, e.options.VM),
+			from: e.organisations, mark: e.owners.mark, services: len(e.serviceIDs),
+		}
 	}
+	return p
+}
+
+// ownerShares returns, for each of the owners, the sum of the configured rates of the
+// organisations whose requests it runs, relative to that of all organisations.
+// Organisations without a limit count as one with the mean rate.
+func (e *Entry) ownerShares(s *entryService, owners []catalog.VMID) []float64 {
 	ids := e.organisations.IDs()
 	limited, sum := 0, 0.0
 	for _, id := range ids {
@@ -123,7 +186,7 @@
 	if limited > 0 {
 		mean = sum / float64(limited)
 	}
-	own, total := 0.0, 0.0
+	shares, total := make([]float64, len(owners)), 0.0
 	for _, id := range ids {
 		o, _ := e.organisations.ByID(id)
 		rate := o.Rate
@@ -131,15 +194,16 @@
 			rate = mean
 		}
 		total += rate
-		count := min(e.organisationOwnerCount(id), len(owners))
-		if slices.Contains(rankForOrganisation(s.id, id, owners)[:count], e.options.VM) {
-			own += rate / float64(count)
+		ranked := rankForOrganisation(s.id, id, owners)
+		ranked = ranked[:min(e.organisationOwnerCount(id), len(ranked))]
+		for _, vm := range ranked {
+			shares[slices.Index(owners, vm)] += rate / float64(len(ranked))
 		}
 	}
-	if total == 0 {
-		return 0
+	for n := range shares {
+		shares[n] /= max(total, 1e-9)
 	}
-	return own / total
+	return shares
 }
 
 func organisationWeight(vm catalog.VMID, service catalog.ServiceID, id catalog.OrganisationID) uint64 {
--- a/node/entry_place.go
+++ b/node/entry_place.go
@@ -23,6 +23,10 @@
 	// than organisations, a connection then runs several requests before it is
 	// closed. Otherwise upstreams would open connections for most of the time.
 	claimDelay = 40 * time.Millisecond
+	// claimDelayDivisor divides the objective of a request; the result limits the
+	// delay. With statements of 18 ms and an objective of 250 ms, half of the
+	// objective must be enough for the delay, the opening and a wait for a slot.
+	claimDelayDivisor = 8
 )
 
 // connsPlace is the state of an upstream's connections that concerns
@@ -38,9 +42,19 @@
 	// openingTime is the moving average of the time that opening a connection
 	// takes, zero if none was opened yet.
 	openingTime time.Duration
+	// wanted is the number of connections that organisations needed or that were
+	// worth keeping for them when the last report was built.
+	wanted int
+}
+
+// openingCost returns for how many seconds opening a connection is expected to occupy
+// a slot. Openings at a saturated upstream take longer because they wait there.
+func (p *connsPlace) openingCost() float64 {
+	return min(p.expectedOpeningTime(), initialOpeningTime).Seconds()
 }
 
 func (p *connsPlace) recordOpening(d time.Duration) {
+	d = max(d, 1)
 	if p.openingTime == 0 {
 		p.openingTime = d
 	}
@@ -119,8 +133,10 @@
 }
 
 // claimPlace reports whether a connection can be opened for a request now or is
-// being opened. If the request has waited for claimDelay, claimPlace closes an idle
-// connection where that is needed, before a request behind it uses that connection.
+// being opened. If a place is needed for it, the step closes an idle connection that
+// no request waits for. If there is none and the request has waited for its claim
+// delay, claimPlace closes one that requests behind it could use, unless the
+// organisation has its share of the places.
 func (e *Entry) claimPlace(i *entryInstance, r *entryRequest) bool {
 	i.place.lacking = append(i.place.lacking, r.Organisation)
 	missing := i.missingOrganisations()
@@ -130,19 +146,48 @@
 	if len(missing) == 0 || missing[len(missing)-1] != r.Organisation || over <= 0 {
 		return true
 	}
-	if over > len(candidates) {
+	if over > len(candidates) || len(missing) > e.maxOpening(i)-i.openingCount() {
 		return false
 	}
-	if e.now.Sub(r.queuedAt) < claimDelay {
-		e.scheduleWake(r.queuedAt.Add(claimDelay))
+	if over <= len(unneeded(candidates)) {
+		return true
+	}
+	if at := r.queuedAt.Add(r.claimDelay()); e.now.Before(at) {
+		e.scheduleWake(at)
 		return true
 	}
+	if e.hasSharedPlaces(i, r.Organisation) {
+		return false
+	}
 	if !slices.ContainsFunc(i.service.instances, func(x *entryInstance) bool { return x.hasIdleFor(r.Organisation) }) {
 		e.closeLeastUsed(i, candidates, over)
 	}
 	return true
 }
 
+func (r *entryRequest) claimDelay() time.Duration {
+	if r.Objective <= 0 {
+		return claimDelay
+	}
+	return min(claimDelay, r.Objective/claimDelayDivisor)
+}
+
+// hasSharedPlaces reports whether an organisation has as many connections as its
+// share by weight of those allowed, and at least one.
+func (e *Entry) hasSharedPlaces(i *entryInstance, id catalog.OrganisationID) bool {
+	own := 0
+	for _, c := range i.conns {
+		if c.organisation == id && c.state != connClosing {
+			own++
+		}
+	}
+	if own == 0 || e.organisations == nil {
+		return own > 0
+	}
+	part := i.service.organisationClock().EntitledPart(id, e.weight(id))
+	return float64(own) >= part*float64(e.connLimit(i, e.now))
+}
+
 // dropLack removes a read that was started elsewhere from the requests that lack a
 // connection to another upstream, unless its organisation is likely to use a
 // connection there often.
@@ -206,7 +251,7 @@
 	}
 	missing = missing[:max(min(len(missing), e.maxOpening(i)-i.openingCount()), 0)]
 	if lacked := len(missing) - room - closing; lacked > 0 {
-		e.closeLeastUsed(i, e.idleCandidates(i), lacked)
+		e.closeLeastUsed(i, unneeded(e.idleCandidates(i)), lacked)
 	}
 	if len(missing) == 0 && spare > 0 && i.openingCount() == 0 {
 		missing = []catalog.OrganisationID{""}
@@ -214,6 +259,7 @@
 	i.confirmRefusal = false
 	for _, id := range missing[:min(len(missing), room)] {
 		e.openConn(i, id)
+		e.chargeOpening(i, id)
 	}
 }
 
--- a/node/entry_place_use.go
+++ b/node/entry_place_use.go
@@ -12,6 +12,7 @@
 // organisation: those whose organisations have no request that lacks a connection.
 func (e *Entry) idleCandidates(i *entryInstance) []connplace.Candidate {
 	var list []connplace.Candidate
+	waiting := i.service.firstWaiting()
 	count := map[catalog.OrganisationID]int{}
 	for _, c := range i.conns {
 		if c.state == connClosing {
@@ -21,7 +22,9 @@
 		if c.state != connIdle || slices.Contains(i.place.lacking, c.organisation) {
 			continue
 		}
+		tag, isNeeded := waiting[c.organisation]
 		list = append(list, connplace.Candidate{
+			IsNeeded: isNeeded, Tag: tag,
 			Conn: c.id, Organisation: c.organisation, Nth: count[c.organisation], IdleSince: c.idleSince,
 			Reserved: c.organisation != "" && !c.wasUsed && e.now.Before(c.idleSince.Add(connReservedTime)),
 		})
@@ -29,6 +32,34 @@
 	return list
 }
 
+// firstWaiting returns, for the organisations with waiting requests, the lowest tag
+// of these.
+func (s *entryService) firstWaiting() map[catalog.OrganisationID]float64 {
+	out := map[catalog.OrganisationID]float64{}
+	for _, q := range s.waiting {
+		for _, r := range q {
+			if r.connID != 0 {
+				continue
+			}
+			if tag, ok := out[r.Organisation]; !ok || r.tag.Start < tag {
+				out[r.Organisation] = r.tag.Start
+			}
+		}
+	}
+	return out
+}
+
+// unneeded returns the candidates for which no request waits.
+func unneeded(list []connplace.Candidate) []connplace.Candidate {
+	var out []connplace.Candidate
+	for _, c := range list {
+		if !c.IsNeeded {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // connReservedTime is how long a new connection is the last to be closed, so that
 // the request that it was opened for finds it. Until then its organisation may have
 // no recent use.
@@ -61,6 +92,7 @@
 // usefulConns returns how many connections requests of organisations need now or
 // are worth keeping for them, and zero if there are none of organisations.
 func (e *Entry) usefulConns(i *entryInstance) int {
+	i.place.wanted = 0
 	if !i.servesOrganisations() {
 		return 0
 	}
@@ -74,7 +106,8 @@
 		inUse[id]++
 	}
 	most := i.service.settings.Limits.Connections
-	return i.place.uses.Wanted(inUse, most, i.service.serviceTime, e.now) + i.place.unplaced
+	i.place.wanted = i.place.uses.Wanted(inUse, most, i.service.serviceTime, e.now) + i.place.unplaced
+	return i.place.wanted
 }
 
 // openingCost returns the time until a request of an organisation would have a
--- a/node/entry_queue.go
+++ b/node/entry_queue.go
@@ -194,7 +194,7 @@
 // one slot free for bookings.
 func (e *Entry) hasSlot(i *entryInstance, r *entryRequest) bool {
 	n := e.concurrencyLimit(i)
-	if r.slotClass() == ClassBrowse && n > 1 {
+	if r.slotClass() == ClassBrowse && n > max(1, e.unreservedLimit(i)) {
 		n--
 	}
 	return i.running+i.claimedSlots(r) < n
@@ -212,12 +212,12 @@
 // since the others are cut off or down, and must fill the slots alone.
 func (e *Entry) concurrencyLimit(i *entryInstance) int {
 	if e.options.UpstreamsFromControl {
-		owners := max(min(e.ownerCount(i.service), len(e.owners.entries)), 1)
-		limit := siteConcurrencyFactor * i.slots()
+		owners := e.sharingOwners(i.service)
 		if e.organisations != nil {
-			limit = organisationConcurrencyFactor * i.slots()
+			return e.organisationsLimit(i, owners)
 		}
-		return max((limit+owners-1)/owners, e.organisationsPart(i.service, limit), 1)
+		limit := siteConcurrencyFactor * i.slots()
+		return max((limit+owners-1)/owners, 1)
 	}
 	return max(1, int(i.adaptiveLimit))
 }
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -114,8 +114,8 @@
 	// owners are the entries of the site ranked for the service. The first ones
 	// own it.
 	owners []catalog.VMID
-	// part is this entry's part of the work of organisations.
-	part ownerPart
+	// parts are the owners' parts of the work of organisations.
+	parts ownerParts
 	// isObserved is set if this entry is one of the service's observers.
 	isObserved bool
 	// isSubscribed is set while the entry observes the service or has callers
