node: play sites whose organisations share few connections

The play runs the owners of several sites against one primary that counts connections and whose slots are also occupied by openings. Grants follow the rule of control.

--- a/node/entry_place_world_test.go
+++ b/node/entry_place_world_test.go
@@ -33,6 +33,12 @@
 	opens      int
 	violations []string
 	inputs     []Input
+	// doneAt is when each request was answered.
+	doneAt map[catalog.RequestID]catalog.Instant
+	// grantFor, if set, replaces granted. demands are those reported last.
+	grantFor func(wire.Demand) int
+	demands  []wire.Demand
+	sequence uint64
 }
 
 type placeConn struct {
@@ -59,7 +65,7 @@
 	w := &placeWorld{
 		entry: l.entry, now: l.now, answer: l.answer, primary: l.primary, granted: granted, work: work,
 		slots: map[catalog.InstanceID]int{}, conns: map[catalog.ConnID]*placeConn{}, requests: map[catalog.RequestID]RequestArrived{},
-		startedAt: map[catalog.RequestID]catalog.Instant{}, answers: map[catalog.RequestID]Verdict{},
+		doneAt: map[catalog.RequestID]catalog.Instant{}, startedAt: map[catalog.RequestID]catalog.Instant{}, answers: map[catalog.RequestID]Verdict{},
 	}
 	for conn, id := range l.conns {
 		if l.entry.conns[conn] != nil {
@@ -153,7 +159,7 @@
 		if _, twice := w.answers[v.Request]; twice {
 			w.violations = append(w.violations, fmt.Sprintf("request %d was answered twice", v.Request))
 		}
-		w.answers[v.Request] = v.Verdict
+		w.answers[v.Request], w.doneAt[v.Request] = v.Verdict, w.now
 	case SendMessage:
 		w.report(v)
 	}
@@ -201,12 +207,27 @@
 	a := w.answer
 	a.Sequence = r.Sequence
 	a.Leases = []wire.Lease{{Primary: w.primary, Length: 2 * time.Second}}
-	for _, demand := range r.Demands {
-		a.Grants = append(a.Grants, wire.Grant{Service: "orders", Instance: demand.Instance, Connections: min(w.granted, max(demand.Desired, 1)), Length: 10 * time.Second})
+	if !r.DemandsUnchanged {
+		w.demands = r.Demands
+	}
+	w.sequence = r.Sequence
+	for _, demand := range w.demands {
+		n := min(w.granted, max(demand.Desired, 1))
+		if w.grantFor != nil {
+			n = w.grantFor(demand)
+		}
+		a.Grants = append(a.Grants, wire.Grant{Service: "orders", Instance: demand.Instance, Connections: n, Length: 10 * time.Second})
 	}
 	w.inputs = append(w.inputs, MessageReceived{From: v.To, Message: wire.Message{Answer: &a}})
 }
 
+// pushGrant delivers a grant to the primary as a further answer to the last report.
+func (w *placeWorld) pushGrant(n int) {
+	a := wire.Answer{Leader: "c1", Version: w.answer.Version, Sequence: w.sequence, UpstreamsMark: w.answer.UpstreamsMark}
+	a.Grants = []wire.Grant{{Service: "orders", Instance: "a", Connections: n, Length: 10 * time.Second}}
+	w.inputs = append(w.inputs, MessageReceived{From: "c1", Message: wire.Message{Answer: &a}})
+}
+
 // checkPlaces compares the open connections with the grants.
 func (w *placeWorld) checkPlaces() {
 	for _, i := range w.entry.services["orders"].instances {
