--- a/node/entry_place.go
+++ b/node/entry_place.go
@@ -23,6 +23,10 @@
 	// than organisations, a connection then runs several requests before it is
 	// closed. Otherwise upstreams would open connections for most of the time.
 	claimDelay = 40 * time.Millisecond
+	// claimDelayDivisor divides the objective of a request; the result limits the
+	// delay. With statements of 18 ms and an objective of 250 ms, half of the
+	// objective must be enough for the delay, the opening and a wait for a slot.
+	claimDelayDivisor = 8
 )
 
 // connsPlace is the state of an upstream's connections that concerns
@@ -38,9 +42,43 @@
 	// openingTime is the moving average of the time that opening a connection
 	// takes, zero if none was opened yet.
 	openingTime time.Duration
+	// wanted is the number of connections that organisations needed or that were
+	// worth keeping for them when the last report was built.
+	wanted int
+	// refusedAbove is the number of connections that were open when the upstream
+	// refused another one, in force until refusedUntil.
+	refusedAbove int
+	refusedUntil catalog.Instant
+}
+
+// refusedTime is how long an entry opens no more connections than it had when the
+// upstream refused one. An upstream counts the connections of a lost VM for seconds.
+// Until it has room again, organisations take each other's places at the entry, and
+// the entry's attempts don't occupy the upstream's slots.
+const refusedTime = time.Second
+
+// recordOpeningRefused records that the upstream is alive and refused a connection.
+func (e *Entry) recordOpeningRefused(i *entryInstance) {
+	i.place.refusedAbove, i.place.refusedUntil = max(i.openCount(), 1), e.now.Add(refusedTime)
+}
+
+// placeLimit returns the number of connections that organisations may have now.
+func (e *Entry) placeLimit(i *entryInstance) int {
+	n := e.connLimit(i, e.now)
+	if e.now.Before(i.place.refusedUntil) {
+		n = min(n, i.place.refusedAbove)
+	}
+	return n
+}
+
+// openingCost returns for how many seconds opening a connection is expected to occupy
+// a slot. Openings at a saturated upstream take longer because they wait there.
+func (p *connsPlace) openingCost() float64 {
+	return min(p.expectedOpeningTime(), initialOpeningTime).Seconds()
 }
 
 func (p *connsPlace) recordOpening(d time.Duration) {
+	d = max(d, 1)
 	if p.openingTime == 0 {
 		p.openingTime = d
 	}
@@ -119,30 +157,70 @@
 }
 
 // claimPlace reports whether a connection can be opened for a request now or is
-// being opened. If the request has waited for claimDelay, claimPlace closes an idle
-// connection where that is needed, before a request behind it uses that connection.
+// being opened. If a place is needed for it, the step closes an idle connection that
+// no request waits for. If there is none and the request has waited for its claim
+// delay, claimPlace closes one that requests behind it could use, unless the
+// organisation has its share of the places.
 func (e *Entry) claimPlace(i *entryInstance, r *entryRequest) bool {
 	i.place.lacking = append(i.place.lacking, r.Organisation)
+	defer func() { i.place.lacking = i.place.lacking[:len(i.place.lacking)-1] }()
 	missing := i.missingOrganisations()
-	candidates := e.idleCandidates(i)
-	i.place.lacking = i.place.lacking[:len(i.place.lacking)-1]
-	over := len(missing) - (e.connLimit(i, e.now) - i.openCount())
+	over := len(missing) - (e.placeLimit(i) - i.openCount())
 	if len(missing) == 0 || missing[len(missing)-1] != r.Organisation || over <= 0 {
 		return true
 	}
-	if over > len(candidates) {
+	candidates := i.idleCandidates(e.waitingTags(i.service), e.now)
+	for _, at := range []catalog.Instant{i.openAfter, i.place.refusedUntil} {
+		if e.now.Before(at) {
+			e.scheduleWake(at)
+		}
+	}
+	if over > len(candidates) || len(missing) > e.maxOpening(i)-i.openingCount() || e.now.Before(i.openAfter) && !i.confirmRefusal {
 		return false
 	}
-	if e.now.Sub(r.queuedAt) < claimDelay {
-		e.scheduleWake(r.queuedAt.Add(claimDelay))
+	if i.service.hasTimely && e.missesObjective(r) {
+		// It would be late anyway, and the opening would delay those that are not.
+		return false
+	}
+	if over <= len(unneeded(candidates)) {
 		return true
 	}
+	if at := r.queuedAt.Add(r.claimDelay()); e.now.Before(at) {
+		e.scheduleWake(at)
+		return true
+	}
+	if e.hasSharedPlaces(i, r.Organisation) {
+		return false
+	}
 	if !slices.ContainsFunc(i.service.instances, func(x *entryInstance) bool { return x.hasIdleFor(r.Organisation) }) {
 		e.closeLeastUsed(i, candidates, over)
 	}
 	return true
 }
 
+func (r *entryRequest) claimDelay() time.Duration {
+	if r.Objective <= 0 {
+		return claimDelay
+	}
+	return min(claimDelay, r.Objective/claimDelayDivisor)
+}
+
+// hasSharedPlaces reports whether an organisation has as many connections as its
+// share by weight of those allowed, and at least one.
+func (e *Entry) hasSharedPlaces(i *entryInstance, id catalog.OrganisationID) bool {
+	own := 0
+	for _, c := range i.conns {
+		if c.organisation == id && c.state != connClosing {
+			own++
+		}
+	}
+	if own == 0 || e.organisations == nil {
+		return own > 0
+	}
+	part := i.service.organisationClock().EntitledPart(id, e.weight(id))
+	return float64(own) >= part*float64(e.connLimit(i, e.now))
+}
+
 // dropLack removes a read that was started elsewhere from the requests that lack a
 // connection to another upstream, unless its organisation is likely to use a
 // connection there often.
@@ -191,7 +269,7 @@
 // the other once that one is gone.
 func (e *Entry) openForOrganisations(i *entryInstance) {
 	missing := i.missingOrganisations()
-	room := max(e.connLimit(i, e.now)-len(i.conns), 0)
+	room := max(e.placeLimit(i)-len(i.conns), 0)
 	closing := len(i.conns) - i.openCount()
 	if i.place.unplaced > 0 || len(missing) > room+closing {
 		e.report.urgent = e.report.urgent || e.neededConns(i) > i.neededAtReport
@@ -206,7 +284,7 @@
 	}
 	missing = missing[:max(min(len(missing), e.maxOpening(i)-i.openingCount()), 0)]
 	if lacked := len(missing) - room - closing; lacked > 0 {
-		e.closeLeastUsed(i, e.idleCandidates(i), lacked)
+		e.closeLeastUsed(i, unneeded(i.idleCandidates(i.service.firstWaiting(), e.now)), lacked)
 	}
 	if len(missing) == 0 && spare > 0 && i.openingCount() == 0 {
 		missing = []catalog.OrganisationID{""}
@@ -214,6 +292,7 @@
 	i.confirmRefusal = false
 	for _, id := range missing[:min(len(missing), room)] {
 		e.openConn(i, id)
+		e.chargeOpening(i, id)
 	}
 }
 
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -111,14 +111,23 @@
 	// overloadedSince is the time since which requests that could meet their
 	// objective have been waiting, zero if none wait.
 	overloadedSince catalog.Instant
+	// waitingTags are the lowest tags of the organisations with waiting requests, as
+	// of the step waitingTagsStep.
+	waitingTags     map[catalog.OrganisationID]float64
+	waitingTagsStep uint64
+	// hasTimely is set if requests waited in the last step that could meet their
+	// objective.
+	hasTimely bool
+	// primaryAbsentAt is when requests waited last while the primary took no work.
+	primaryAbsentAt catalog.Instant
 
 	balance entryBalance
 
 	// owners are the entries of the site ranked for the service. The first ones
 	// own it.
 	owners []catalog.VMID
-	// part is this entry's part of the work of organisations.
-	part ownerPart
+	// parts are the owners' parts of the work of organisations.
+	parts ownerParts
 	// isObserved is set if this entry is one of the service's observers.
 	isObserved bool
 	// isSubscribed is set while the entry observes the service or has callers
