node: explain where a request would go

Operators could see why a request was refused only after the fact, in logs. An entry now answers the query explain: it gives the request to a copy of itself, which decides by the same code, and reports the choice with what it depends on. The entry's own state does not change. The command line asks it at the metrics address of an entry.

--- a/connplace/connplace.go
+++ b/connplace/connplace.go
@@ -143,3 +143,8 @@
 	}
 	return total
 }
+
+// Clone returns an independent copy.
+func (u *Uses) Clone() Uses {
+	return Uses{counts: maps.Clone(u.counts)}
+}
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -113,8 +113,7 @@
 
 // servePeersAndMetrics listens on the peer address and on the metrics address.
 // The peer address also serves peerHandlers, which holds handlers by path. The
-// metrics address also serves queries, which handles operators' queries and is
-// nil at entries.
+// metrics address also serves queries, which handles operators' queries.
 func (h *hosted) servePeersAndMetrics(peerHandlers map[string]http.Handler, queries http.Handler) error {
 	peers := http.NewServeMux()
 	peers.Handle(link.PeerPath, h.hub)
@@ -126,9 +125,7 @@
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", h.metrics.Handler())
-	if queries != nil {
-		metrics.Handle("POST /v1/command", queries)
-	}
+	metrics.Handle("POST /v1/command", queries)
 	return h.listen(h.settings.MetricsAddress(h.settings.VM), metrics)
 }
 
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -32,12 +32,14 @@
 	pool := session.NewPool(h.poolOptions())
 	h.createHub()
 	channels := link.NewChannelPool(h.hub)
+	commands := newCommandDispatcher(h.loop.Feed)
+	commands.timeout = hostedCommandTimeout
 	callers := session.NewServer(session.Options{
 		Feed: h.loop.Feed, Now: h.clock.Now, Pool: pool, LogDecision: h.logDecision,
 		AcquirePeer: func(vm catalog.VMID) (*session.PeerConn, error) { return h.openForwardStream(channels, vm) },
 		MaxCallers:  max(h.settings.MaxFiles-reservedDescriptors, reservedDescriptors),
 	})
-	if err := h.servePeersAndMetrics(map[string]http.Handler{link.ChannelPath: h.hub.ChannelHandler(serveForwarded(callers))}, nil); err != nil {
+	if err := h.servePeersAndMetrics(map[string]http.Handler{link.ChannelPath: h.hub.ChannelHandler(serveForwarded(callers))}, explainHandler(commands)); err != nil {
 		return errors.Trace(err)
 	}
 	var ready, leaving atomic.Bool
@@ -63,6 +65,8 @@
 			callers.Deliver(v.Request, v)
 		case node.AnswerRequest:
 			callers.Deliver(v.Request, v)
+		case node.AnswerCommand:
+			commands.deliver(v)
 		case node.RoutesChanged:
 			callers.SetRoutes(v)
 			h.log.Info("A configuration is in force.", "part", "entry", "version", uint64(v.Version), "routes", len(v.Routes))
--- a/daemon/hosted_queries.go
+++ b/daemon/hosted_queries.go
@@ -33,3 +33,19 @@
 		_ = json.NewEncoder(w).Encode(reply)
 	})
 }
+
+// explainHandler returns the handler that answers operators' queries at an entry,
+// which are about where requests go. Control answers all others.
+func explainHandler(commands *commandDispatcher) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var c node.Command
+		if !decodeJSON(w, r, "command", &c) {
+			return
+		}
+		if c.Explain == nil || !c.IsQuery() {
+			http.Error(w, "command: entries answer explain only; ask the metrics address of a control VM", http.StatusForbidden)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(commands.execute(c))
+	})
+}
--- a/node/command.go
+++ b/node/command.go
@@ -29,12 +29,14 @@
 	Settings *SettingsQuery  `json:"settings,omitempty"`
 
 	Organisations *OrganisationsQuery `json:"organisations,omitempty"`
+	// Explain is answered by entries, all others by control.
+	Explain *ExplainQuery `json:"explain,omitempty"`
 }
 
 // IsQuery reports whether the command only reads state.
 func (c Command) IsQuery() bool {
-	isQuery := c.Status != nil || c.History != nil || c.Settings != nil || c.Organisations != nil
-	c.Status, c.History, c.Settings, c.Organisations = nil, nil, nil, nil
+	isQuery := c.Status != nil || c.History != nil || c.Settings != nil || c.Organisations != nil || c.Explain != nil
+	c.Status, c.History, c.Settings, c.Organisations, c.Explain = nil, nil, nil, nil, nil
 	return isQuery && c == Command{}
 }
 
@@ -143,6 +145,7 @@
 	Routes   []catalog.Route   `json:"routes,omitempty"`
 	// Organisations are sorted by id.
 	Organisations []OrganisationStatus `json:"organisations,omitempty"`
+	Explanation   *Explanation         `json:"explanation,omitempty"`
 	// Document is the configuration as the operator wrote it, for a
 	// SettingsQuery.
 	Document []byte `json:"document,omitempty"`
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -12,6 +12,10 @@
 		c.reply(o.Number, Reply{Code: ReplyOK, Version: c.state.Version})
 		return
 	}
+	if o.Command.Explain != nil {
+		c.reply(o.Number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: "Only entries know where requests go. Ask the metrics address of an entry."})
+		return
+	}
 	if !c.isLeader || !c.hasQuorumContact() {
 		c.reply(o.Number, Reply{
 			Code: ReplyNotLeader, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.ElectionTimeout,
--- a/node/entry.go
+++ b/node/entry.go
@@ -167,6 +167,9 @@
 // Step processes one event and returns the effects that the shell must carry
 // out, in order.
 func (e *Entry) Step(ev Event) []Effect {
+	if v, ok := ev.Input.(CommandReceived); ok {
+		return e.answerQuery(ev.Now, v)
+	}
 	e.effects = nil
 	e.now = ev.Now
 	e.steps++
--- a/node/entry_limit.go
+++ b/node/entry_limit.go
@@ -9,6 +9,8 @@
 // The entry that a caller is connected to decides whether an operation is within
 // the limit of the caller's organisation. Package ratelimit has the decision.
 
+const overLimitReason = "the organisation is over its limit"
+
 // entryLimits is the state of the entry that concerns the limits of
 // organisations.
 type entryLimits struct {
@@ -36,7 +38,7 @@
 	}
 	e.increment("organisation-over-limit")
 	e.answer(r, AnswerRequest{
-		Request: r.Request, Verdict: VerdictNotRun, Reason: "the organisation is over its limit", RetryAfter: clampRetry(after),
+		Request: r.Request, Verdict: VerdictNotRun, Reason: overLimitReason, RetryAfter: clampRetry(after),
 	})
 	return true
 }
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -144,7 +144,7 @@
 			continue
 		}
 		switch {
-		case i.positionKnown && !i.position.Less(floor):
+		case i.hasReached(floor):
 			proven = append(proven, i)
 		case i == r.lastFailed || r.verifyCount >= maxVerifyTries:
 		case e.mayHaveCaughtUp(i) || i.behindCount < hopelessBehindCount && e.likelyCovers(s, i, floor):
@@ -157,6 +157,11 @@
 	return proven, likely
 }
 
+// hasReached reports whether the upstream is known to have reached a position.
+func (i *entryInstance) hasReached(p catalog.Position) bool {
+	return i.positionKnown && !i.position.Less(p)
+}
+
 // A replica that falls far behind stays so for many seconds. Reads that try it
 // again and again reach the primary later, and while they wait for a connection
 // to such a replica they are not refused although the primary is busy. This
@@ -216,6 +221,18 @@
 	return catalog.Position{}, false
 }
 
+// readFloor returns the position that a replica must cover to serve a read, by the
+// read's floor and MaxAge. It returns false if no position of the primary is known
+// from within MaxAge.
+func (e *Entry) readFloor(s *entryService, r *entryRequest) (catalog.Position, bool) {
+	age, known := e.ageFloor(s, r)
+	floor := s.primary.Forks.Clip(r.Floor)
+	if age = s.primary.Forks.Clip(age); floor.Less(age) {
+		floor = age
+	}
+	return floor, known
+}
+
 // startAtAny starts a read at the first of the replicas that has a slot and a
 // connection, and reports whether there was one.
 func (e *Entry) startAtAny(r *entryRequest, replicas []*entryInstance) bool {
@@ -231,11 +248,7 @@
 // upstreams verify the read's floor themselves.
 func (e *Entry) placeFloorRead(s *entryService, r *entryRequest, p *placement) bool {
 	r.awaitsReplica = false
-	age, known := e.ageFloor(s, r)
-	floor := s.primary.Forks.Clip(r.Floor)
-	if age = s.primary.Forks.Clip(age); floor.Less(age) {
-		floor = age
-	}
+	floor, known := e.readFloor(s, r)
 	if !known || r.primaryOnly {
 		e.recordPrimaryWork(r)
 		return e.startAtPrimary(s, r, p) || e.awaitPrimary(s, r, p)
--- a/node/entry_request.go
+++ b/node/entry_request.go
@@ -11,10 +11,7 @@
 		return
 	}
 	s := e.services[v.Service]
-	r := &entryRequest{RequestArrived: v, service: s, arrivedAt: e.now, arrivalStep: e.steps, queuedAt: e.now}
-	r.Class = min(v.Class, ClassBrowse)
-	r.primaryOnly = e.options.ReadFromPrimary || v.PrimaryOnly
-	r.floorKnown = !v.FloorUnknown || r.primaryOnly
+	r := e.newRequest(v)
 	e.requests[r.Request] = r
 	if !e.catchUp.inForce {
 		e.refuse(r, "the entry has no configuration yet", 2*e.options.Timings.ReportInterval)
@@ -48,6 +45,15 @@
 	e.enqueue(r)
 }
 
+// newRequest returns the state of a request that arrives now.
+func (e *Entry) newRequest(v RequestArrived) *entryRequest {
+	r := &entryRequest{RequestArrived: v, service: e.services[v.Service], arrivedAt: e.now, arrivalStep: e.steps, queuedAt: e.now}
+	r.Class = min(v.Class, ClassBrowse)
+	r.primaryOnly = e.options.ReadFromPrimary || v.PrimaryOnly
+	r.floorKnown = !v.FloorUnknown || r.primaryOnly
+	return r
+}
+
 // runInTransaction runs a statement of an open transaction on the connection of
 // that transaction.
 func (e *Entry) runInTransaction(r *entryRequest) {
--- a/session/request.go
+++ b/session/request.go
@@ -74,11 +74,6 @@
 
 var verdictNames = [...]string{"done", "not-run", "unknown"}
 
-// classOf returns the admission class for the priority of a route.
-func classOf(r catalog.Route) node.Class {
-	return node.Class(min(max(r.Priority, 0), int(node.ClassBrowse)))
-}
-
 // request submits one statement to the entry's reducer, carries out the
 // reducer's effects for it and returns the outcome.
 func (c *session) request(st Statement, route catalog.Route, kind node.RequestKind) outcome {
@@ -89,17 +84,12 @@
 	id, effects := c.server.register()
 	defer c.server.unregister(id)
 	now := c.server.options.Now()
-	in := node.RequestArrived{
-		Request: id, Service: route.Service, Database: c.database, Organisation: c.organisation, Kind: kind, Class: classOf(route),
-		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
-		Deadline: now.Add(route.Timeout), Objective: route.Objective, Forwarded: c.forwardedFrom != "", Waited: c.waitTime,
-	}
+	in := node.NewRequest(route, kind, c.floor, now)
+	in.Request, in.Database, in.Organisation = id, c.database, c.organisation
+	in.Forwarded, in.Waited = c.forwardedFrom != "", c.waitTime
 	if c.tx != nil {
 		in.HeldConn = c.tx.conn
 	}
-	if route.Reads == catalog.ReadsOwnWrites {
-		in.Floor = c.floor
-	}
 	d.Floor = in.Floor
 	c.server.options.Feed(in)
 	var o outcome
