--- a/daemon/hosted_queries_test.go
+++ b/daemon/hosted_queries_test.go
@@ -48,3 +48,40 @@
 		So(code, ShouldEqual, http.StatusBadRequest)
 	})
 }
+
+// An entry must answer explain, and must refuse all other commands: its reducer
+// has no state to answer queries about the system, and may not change it.
+func TestEntryQueries(t *testing.T) {
+	entry := node.NewEntry(node.EntryOptions{VM: "10.0.0.9", Site: "s1", Timings: catalog.DefaultTimings(), UpstreamsFromControl: true})
+	entry.Step(node.Event{Now: catalog.Instant(1), Input: node.TimerFired{}})
+	post := func(body string) (int, node.Reply) {
+		var commands *commandDispatcher
+		commands = newCommandDispatcher(func(in node.Input) {
+			for _, x := range entry.Step(node.Event{Now: catalog.Instant(2), Input: in}) {
+				commands.deliver(x.(node.AnswerCommand))
+			}
+		})
+		w := httptest.NewRecorder()
+		explainHandler(commands).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/command", strings.NewReader(body)))
+		var r node.Reply
+		_ = json.Unmarshal(w.Body.Bytes(), &r)
+		return w.Code, r
+	}
+	Convey("an entry explains a request", t, func() {
+		code, r := post(`{"explain":{"database":"shop","kind":"read"}}`)
+		So(code, ShouldEqual, http.StatusOK)
+		So(r.Code, ShouldEqual, node.ReplyOK)
+		So(r.Explanation.Entry.VM, ShouldEqual, catalog.VMID("10.0.0.9"))
+		So(r.Explanation.Choice.Verdict, ShouldEqual, node.ExplainRefuse)
+	})
+	Convey("an entry refuses a kind of request that does not exist", t, func() {
+		_, r := post(`{"explain":{"database":"shop","kind":"scan"}}`)
+		So(r.Code, ShouldEqual, node.ReplyInvalid)
+	})
+	Convey("an entry refuses all other commands", t, func() {
+		for _, body := range []string{`{"status":{}}`, `{"explain":{},"drain":{"instance":"a"}}`, `{}`} {
+			code, _ := post(body)
+			So(code, ShouldEqual, http.StatusForbidden)
+		}
+	})
+}
--- a/node/entry_bench_test.go
+++ b/node/entry_bench_test.go
@@ -95,3 +95,20 @@
 		}
 	}
 }
+
+// BenchmarkEntryExplain measures an explanation at an entry with one service and
+// 300 services, of which each has three upstreams.
+func BenchmarkEntryExplain(b *testing.B) {
+	for _, services := range []int{1, 300} {
+		b.Run(strconv.Itoa(services), func(b *testing.B) {
+			w := newScaleWorld(services, nil)
+			w.run(2 * time.Second)
+			in := RequestArrived{Request: explainedRequest, Service: scaleServiceID(0), Class: ClassNormal, Deadline: w.now.Add(time.Second)}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				w.entry.explain(in, w.now)
+			}
+		})
+	}
+}
