commands: tell an unknown floor in explain

A read whose floor is unknown, since no position of the primary is known, had no line on it, and an organisation that is not in the configuration counted as admitted.

go test ./commands ./daemon ./session ./ratelimit ./connplace ./fairqueue pass; ./node fails in TestOrganisationThatSendsTooMuch and TestSharesOfOrganisations as before. 3,000 cases of each random test of explain pass.

--- a/commands/explain.go
+++ b/commands/explain.go
@@ -93,8 +93,11 @@
 		lease = fmt.Sprintf("lease for %s more, renewed by the report of %s ago", formatCell(s.LeaseLeft), formatCell(s.LeaseAge))
 	}
 	out.addRow("primary", fmt.Sprintf("%s, epoch %d, ready: %s, %s", textOr(string(s.Primary), "none"), s.Epoch, formatCell(s.Ready), lease))
-	if s.FloorKnown {
+	switch {
+	case s.FloorKnown:
 		out.addRow("floor", s.Floor)
+	case strings.HasSuffix(c.Args.Kind, "read") && x.Route.Reads != catalog.ReadsPrimary:
+		out.addRow("floor", "unknown: no position of the primary is known from within the maximum age")
 	}
 	out.addRow("waiting", s.Waiting)
 }
--- a/node/entry_explain.go
+++ b/node/entry_explain.go
@@ -149,7 +149,7 @@
 		return nil
 	}
 	o, known := e.organisations.ByID(r.Organisation)
-	x := &ExplainedOrganisation{ID: r.Organisation, Known: known, Rate: o.Rate, Burst: o.Burst, Admitted: choice.Cause != overLimitReason}
+	x := &ExplainedOrganisation{ID: r.Organisation, Known: known, Rate: o.Rate, Burst: o.Burst, Admitted: known && choice.Cause != overLimitReason}
 	if o.Rate > 0 {
 		s := e.limits.admission.Standing(e.now, o.ID, ratelimit.Limit{Rate: o.Rate, Burst: o.Burst})
 		x.Standing = &s
--- a/node/explain.go
+++ b/node/explain.go
@@ -56,7 +56,7 @@
 	Rate     float64             `json:"rate"`
 	Burst    float64             `json:"burst"`
 	Standing *ratelimit.Standing `json:"standing,omitempty"`
-	// Admitted is set if the limit admits the operation now.
+	// Admitted is set if the organisation is known and its limit admits the operation.
 	Admitted bool `json:"admitted"`
 }
 
