--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -44,8 +44,8 @@
 	// hasPredecessor is set once an entry was found that has been in contact with
 	// an earlier leader.
 	hasPredecessor bool
-	pools    map[catalog.OrganisationID]*pool
-	entries  map[catalog.VMID]*entryUsage
+	pools          map[catalog.OrganisationID]*pool
+	entries        map[catalog.VMID]*entryUsage
 	// entryCount is the number of entries of the system, and unheardCount that of
 	// those that have not reported to this leader.
 	entryCount, unheardCount int
