--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -108,6 +108,9 @@
 // logDecision records the outcome of a request in the log and in the metrics.
 func (h *hosted) logDecision(d session.Decision) {
 	h.metrics.ObserveDuration("request", d.Duration)
+	if d.Verdict == session.VerdictUnknownKey {
+		h.metrics.Count("organisation-unknown-key", 1)
+	}
 	pairs := []any{
 		"part", "request", "request", d.Request, "database", d.Database,
 		"service", string(d.Service), "statement", d.Verb.String(), "verdict", d.Verdict, "cause", d.Reason,
--- a/session/admission.go
+++ b/session/admission.go
@@ -10,6 +10,10 @@
 // more.
 const errKeyWithdrawn = errors.ConstError("the caller's key belongs to no organisation")
 
+// VerdictUnknownKey is the verdict of a decision on a caller whose key belongs to
+// no organisation.
+const VerdictUnknownKey = "unknown-key"
+
 // admissionTexts and admissionVerdicts hold what the caller and the log are told
 // if the caller may not use the database.
 var (
@@ -17,7 +21,7 @@
 		CodeNoDatabase: "no database has this name",
 		CodeUnknownKey: "no organisation has this key",
 	}
-	admissionVerdicts = map[Code]string{CodeNoDatabase: "no-database", CodeUnknownKey: "unknown-key"}
+	admissionVerdicts = map[Code]string{CodeNoDatabase: "no-database", CodeUnknownKey: VerdictUnknownKey}
 )
 
 // admit returns the route of the session's database and sets the caller's
