node, commands: show which organisations are limited

organisation list said what the limits are, but not whether control divides one among the entries now.

TestControlAssignsShares checks the reply in both states and passes.

--- a/node/command.go
+++ b/node/command.go
@@ -210,6 +210,9 @@
 	// Rate of zero means no limit.
 	Rate  float64 `json:"rate"`
 	Burst float64 `json:"burst"`
+	// Limited is set while control divides the limit among the entries, because
+	// the organisation asks for about its rate or more.
+	Limited bool `json:"limited"`
 }
 
 // UpstreamStatus describes one upstream.
--- a/node/control_limit_test.go
+++ b/node/control_limit_test.go
@@ -55,9 +55,11 @@
 			So(a[0].Limits, ShouldHaveLength, 1)
 			So(a[1].Limits, ShouldHaveLength, 1)
 			So(a[0].Limits[0].Rate+a[1].Limits[0].Rate, ShouldBeBetween, 1, 101)
+			So(w.runCommand(Command{Organisations: &OrganisationsQuery{}}).Organisations[0].Limited, ShouldBeTrue)
 			So(a[0].Limits[0].Length, ShouldEqual, shareIntervals*w.control.options.Timings.ReportInterval)
 			reportUsage(w, 100, 10)
 			So(w.control.limits.allocator.IsLimited("acme"), ShouldBeFalse)
+			So(w.runCommand(Command{Organisations: &OrganisationsQuery{}}).Organisations[0].Limited, ShouldBeFalse)
 		})
 	})
 }
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -48,7 +48,9 @@
 func (c *Control) organisations() []OrganisationStatus {
 	out := make([]OrganisationStatus, 0, len(c.state.Organisations))
 	for _, o := range c.state.Organisations {
-		out = append(out, OrganisationStatus{ID: o.ID, Keys: len(o.Keys), Priority: o.Priority, Rate: o.Rate, Burst: o.Burst})
+		out = append(out, OrganisationStatus{
+			ID: o.ID, Keys: len(o.Keys), Priority: o.Priority, Rate: o.Rate, Burst: o.Burst, Limited: c.limits.allocator.IsLimited(o.ID),
+		})
 	}
 	return out
 }
