--- a/commands/config_show.go
+++ b/commands/config_show.go
@@ -30,7 +30,9 @@
 		if c.Site != "" || len(c.Overlays) > 0 {
 			return usageError("site and overlay need config")
 		}
-		return c.cli.send(node.Command{Settings: &node.SettingsQuery{}}, func(r node.Reply) {
+		// Only the JSON output shows the document.
+		query := &node.SettingsQuery{Document: c.cli.Options.JSON}
+		return c.cli.send(node.Command{Settings: query}, func(r node.Reply) {
 			fmt.Fprintf(c.cli.Stdout, "version %d\n", r.Version)
 			c.cli.showServiceLimits(r.Services)
 		})
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -117,7 +117,7 @@
 		return
 	}
 	if r.Header.Get(forwardedHeader) != "" && a.executeLocally != nil {
-		_ = json.NewEncoder(w).Encode(a.executeLocally(c))
+		_ = json.NewEncoder(w).Encode(c.FilterReply(a.executeLocally(c)))
 		return
 	}
 	reply, ok := a.execute(c)
@@ -125,7 +125,7 @@
 		w.Header().Set("Retry-After", strconv.Itoa(1))
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	_ = json.NewEncoder(w).Encode(reply)
+	_ = json.NewEncoder(w).Encode(c.FilterReply(reply))
 }
 
 // commandDispatcher passes operators' commands to the reducer. It numbers the
--- a/daemon/hosted_queries.go
+++ b/daemon/hosted_queries.go
@@ -30,6 +30,6 @@
 			}
 			reply, _ = f.forward(c, reply.Leader)
 		}
-		_ = json.NewEncoder(w).Encode(reply)
+		_ = json.NewEncoder(w).Encode(c.FilterReply(reply))
 	})
 }
--- a/daemon/hosted_queries_test.go
+++ b/daemon/hosted_queries_test.go
@@ -48,3 +48,38 @@
 		So(code, ShouldEqual, http.StatusBadRequest)
 	})
 }
+
+// TestRepliesWithoutDocument guards against keys of organisations in replies to
+// operators: the document contains them, and control sends it with the services
+// and routes.
+func TestRepliesWithoutDocument(t *testing.T) {
+	Convey("the document is sent only if it is asked for", t, func() {
+		reply := node.Reply{Code: node.ReplyOK, Version: 7, Document: []byte("secret")}
+		var commands *commandDispatcher
+		commands = newCommandDispatcher(func(in node.Input) {
+			go commands.deliver(node.AnswerCommand{Number: in.(node.CommandReceived).Number, Reply: reply})
+		})
+		h := &hosted{settings: &platform.Settings{VM: "10.0.0.1", MetricsPort: 7441}}
+		embedded := &admin{
+			execute:        func(c node.Command) (node.Reply, bool) { return commands.execute(c), true },
+			executeLocally: commands.execute,
+		}
+		handlers := []http.Handler{h.queryHandler(commands), http.HandlerFunc(embedded.command)}
+		for n, forwarded := range []string{"", "10.0.0.2", "", "10.0.0.2"} {
+			post := func(body string) node.Reply {
+				w := httptest.NewRecorder()
+				q := httptest.NewRequest(http.MethodPost, "/v1/command", strings.NewReader(body))
+				q.Header.Set(forwardedHeader, forwarded)
+				handlers[n/2].ServeHTTP(w, q)
+				var r node.Reply
+				So(json.Unmarshal(w.Body.Bytes(), &r), ShouldBeNil)
+				So(r.Version, ShouldEqual, catalog.Version(7))
+				return r
+			}
+			for _, body := range []string{`{"settings":{}}`, `{"status":{}}`, `{"history":{"limit":1}}`, `{"organisations":{}}`} {
+				So(post(body).Document, ShouldBeNil)
+			}
+			So(post(`{"settings":{"document":true}}`).Document, ShouldResemble, reply.Document)
+		}
+	})
+}
--- a/node/command.go
+++ b/node/command.go
@@ -38,6 +38,15 @@
 	return isQuery && c == Command{}
 }
 
+// FilterReply returns the reply to the command as operators get it: without the
+// document that contains keys, unless the command asks for it.
+func (c Command) FilterReply(r Reply) Reply {
+	if c.Settings == nil || !c.Settings.Document {
+		r.Document = nil
+	}
+	return r
+}
+
 // ApplySettings replaces the list of services.
 type ApplySettings struct {
 	Services []catalog.Service `json:"services"`
@@ -105,7 +114,11 @@
 }
 
 // SettingsQuery reads the configuration in force.
-type SettingsQuery struct{}
+type SettingsQuery struct {
+	// Document asks for the operator's document, which contains the keys of
+	// organisations.
+	Document bool `json:"document,omitempty"`
+}
 
 // OrganisationsQuery reads the organisations in force, without their keys.
 type OrganisationsQuery struct{}
@@ -144,7 +157,7 @@
 	// Organisations are sorted by id.
 	Organisations []OrganisationStatus `json:"organisations,omitempty"`
 	// Document is the configuration as the operator wrote it, for a
-	// SettingsQuery.
+	// SettingsQuery. FilterReply removes it from what operators get.
 	Document []byte `json:"document,omitempty"`
 	// RetryAfter is the suggested delay before a retry.
 	RetryAfter time.Duration `json:"retry-after,omitempty"`
