--- a/node/command.go
+++ b/node/command.go
@@ -40,6 +40,15 @@
 	return isQuery && c == Command{}
 }
 
+// FilterReply returns the reply to the command as operators get it: without the
+// document that contains keys, unless the command asks for it.
+func (c Command) FilterReply(r Reply) Reply {
+	if c.Settings == nil || !c.Settings.Document {
+		r.Document = nil
+	}
+	return r
+}
+
 // ApplySettings replaces the list of services.
 type ApplySettings struct {
 	Services []catalog.Service `json:"services"`
@@ -107,7 +116,11 @@
 }
 
 // SettingsQuery reads the configuration in force.
-type SettingsQuery struct{}
+type SettingsQuery struct {
+	// Document asks for the operator's document, which contains the keys of
+	// organisations.
+	Document bool `json:"document,omitempty"`
+}
 
 // OrganisationsQuery reads the organisations in force, without their keys.
 type OrganisationsQuery struct{}
@@ -147,7 +160,7 @@
 	Organisations []OrganisationStatus `json:"organisations,omitempty"`
 	Explanation   *Explanation         `json:"explanation,omitempty"`
 	// Document is the configuration as the operator wrote it, for a
-	// SettingsQuery.
+	// SettingsQuery. FilterReply removes it from what operators get.
 	Document []byte `json:"document,omitempty"`
 	// RetryAfter is the suggested delay before a retry.
 	RetryAfter time.Duration `json:"retry-after,omitempty"`
@@ -213,6 +226,9 @@
 	// Rate of zero means no limit.
 	Rate  float64 `json:"rate"`
 	Burst float64 `json:"burst"`
+	// Limited is set while control divides the limit among the entries, because
+	// the organisation asks for about its rate or more.
+	Limited bool `json:"limited"`
 }
 
 // UpstreamStatus describes one upstream.
--- a/node/entry_clone.go
+++ b/node/entry_clone.go
@@ -74,6 +74,7 @@
 		c.waiting[class] = cloneList(s.waiting[class], m.request)
 	}
 	c.costs = maps.Clone(s.costs)
+	c.waitingTags = maps.Clone(s.waitingTags)
 	c.clock = s.clock.Clone()
 	c.replicating = cloneList(s.replicating, m.request)
 	c.running = cloneList(s.running, m.request)
--- a/node/entry_clone_test.go
+++ b/node/entry_clone_test.go
@@ -18,7 +18,7 @@
 var sharedFields = []string{
 	"Entry.options", "Entry.effects", "Entry.provenBuffer", "Entry.likelyBuffer", "Entry.siteOrder", "Entry.routes", "Entry.organisations",
 	"Entry.seeds", "Entry.drained", "Entry.siteVMs", "Entry.leaseValid", "Entry.connLimit", "entrySchedule.batch", "entryReports.unconfirmed",
-	"entryReports.lastDemands", "entryCatchUp.peers", "entryOwners.entries", "entryService.settings", "entryService.owners", "ownerPart.from",
+	"entryReports.lastDemands", "entryCatchUp.peers", "entryOwners.entries", "entryService.settings", "entryService.owners", "ownerParts.from", "ownerParts.shares",
 	"Primary.Forks", "RunRequest.Forks",
 }
 
