entry: rank the owners of one service at a time

Cause: with more than 64 services each further service made an entry rank the entries of its site again for all services, and each comparison of a sort hashed two names.

Change: without balancing by load a service's ranks are worked out for that service alone, when they are needed, with one hash for each entry. The ranks are the same as before.

--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -179,5 +179,8 @@
 }
 
 func rendezvousWeight(vm catalog.VMID, id catalog.ServiceID) uint64 {
-	return xxhash.Sum64String(string(vm) + "\x00" + string(id))
+	var buffer [128]byte
+	key := append(buffer[:0], vm...)
+	key = append(key, 0)
+	return xxhash.Sum64(append(key, id...))
 }
--- a/node/entry_owner.go
+++ b/node/entry_owner.go
@@ -45,7 +45,8 @@
 	sites   int
 	mark    uint64
 	// rankedMark and rankedServices are the mark and the number of services for
-	// which the owners were last ranked.
+	// which the owners were last ranked by load. Both are zero while they are
+	// ranked by hashing alone.
 	rankedMark     uint64
 	rankedServices int
 	// waitUntil is when this entry stops waiting for the list of entries, zero
@@ -92,7 +93,7 @@
 // neither avoided nor stopping.
 func (e *Entry) ownersOf(s *entryService) []catalog.VMID {
 	o := &e.owners
-	e.rankOwners()
+	e.rankOwners(s)
 	count := e.ownerCount(s)
 	var out []catalog.VMID
 	for _, vm := range s.owners {
@@ -109,16 +110,32 @@
 	return max(connectionsPerSlot*s.slots()/max(e.owners.sites, 1), 1)
 }
 
-// rankOwners ranks the entries of the site for each service, if the entries or
-// the services have changed. All entries compute the same ranks. Hashing alone
-// may give an entry several services and so several times the load of others;
-// therefore an entry that has its share already is ranked behind the others.
-func (e *Entry) rankOwners() {
+// rankOwners ranks the entries of the site for a service, if the entries or the
+// services have changed. All entries compute the same ranks. Hashing alone may
+// give an entry several services and so several times the load of others;
+// therefore, with few services, an entry that has its share already is ranked
+// behind the others.
+func (e *Entry) rankOwners(s *entryService) {
 	o := &e.owners
-	if o.rankedMark == o.mark && o.rankedServices == len(e.serviceIDs) {
+	if len(e.serviceIDs) > maxBalancedServices {
+		// The ranks of a service do not depend on the other services. Ranking all
+		// of 1,200 services whenever one is added takes an entry with a tenth of a
+		// core longer than the time between two reports.
+		o.rankedMark, o.rankedServices = 0, 0
+		if s.rankedMark != o.mark {
+			s.rankedMark = o.mark
+			s.owners = rankByHash(o.entries, s.id)
+		}
 		return
 	}
-	o.rankedMark, o.rankedServices = o.mark, len(e.serviceIDs)
+	if o.rankedMark != o.mark || o.rankedServices != len(e.serviceIDs) {
+		o.rankedMark, o.rankedServices = o.mark, len(e.serviceIDs)
+		e.rankOwnersByLoad()
+	}
+}
+
+func (e *Entry) rankOwnersByLoad() {
+	o := &e.owners
 	total := 0
 	for _, id := range e.serviceIDs {
 		total += min(e.ownerCount(e.services[id]), len(o.entries))
@@ -127,21 +144,35 @@
 	load := map[catalog.VMID]int{}
 	for _, id := range e.serviceIDs {
 		s := e.services[id]
-		s.owners = slices.Clone(o.entries)
-		slices.SortFunc(s.owners, func(a, b catalog.VMID) int {
-			return cmp.Compare(rendezvousWeight(b, id), rendezvousWeight(a, id))
+		s.rankedMark = 0
+		s.owners = rankByHash(o.entries, id)
+		slices.SortStableFunc(s.owners, func(a, b catalog.VMID) int {
+			return cmp.Compare(load[a]/share, load[b]/share)
 		})
-		if len(e.serviceIDs) <= maxBalancedServices {
-			slices.SortStableFunc(s.owners, func(a, b catalog.VMID) int {
-				return cmp.Compare(load[a]/share, load[b]/share)
-			})
-		}
 		for _, vm := range s.owners[:min(e.ownerCount(s), len(s.owners))] {
 			load[vm]++
 		}
 	}
 }
 
+// rankByHash returns the entries ranked for a service by rendezvous hashing.
+func rankByHash(entries []catalog.VMID, id catalog.ServiceID) []catalog.VMID {
+	type weighted struct {
+		vm     catalog.VMID
+		weight uint64
+	}
+	list := make([]weighted, len(entries))
+	for n, vm := range entries {
+		list[n] = weighted{vm: vm, weight: rendezvousWeight(vm, id)}
+	}
+	slices.SortFunc(list, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]catalog.VMID, len(list))
+	for n, w := range list {
+		out[n] = w.vm
+	}
+	return out
+}
+
 // maxBalancedServices is the highest number of services for which rankOwners
 // considers the load of the entries. More services are distributed evenly
 // enough by hashing alone.
--- a/node/entry_owner_organisation.go
+++ b/node/entry_owner_organisation.go
@@ -94,7 +94,7 @@
 	if e.organisations == nil || e.owners.mark == 0 {
 		return 0
 	}
-	e.rankOwners()
+	e.rankOwners(s)
 	now := ownerPart{share: s.part.share, from: e.organisations, mark: e.owners.mark, services: len(e.serviceIDs), owners: e.ownerCount(s)}
 	if s.part != now {
 		now.share = e.ownerShare(s)
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -117,6 +117,9 @@
 	// owners are the entries of the site ranked for the service. The first ones
 	// own it.
 	owners []catalog.VMID
+	// rankedMark is the mark of the entries for which owners was ranked by hashing
+	// alone, zero if it was not.
+	rankedMark uint64
 	// part is this entry's part of the work of organisations.
 	part ownerPart
 	// isObserved is set if this entry is one of the service's observers.
