control: send an entry the upstreams of its services first

Cause: a leader sends each entry all of 3,600 upstreams in parts of 320, in the order of their changes, so that an entry gets those of the services it owns after several seconds on a link of 2 Mbit/s. While upstreams start each answer, 1,500 a second, also searched and sorted all of them.

Change: while a list is incomplete, up to half of an answer are upstreams of services that the entry serves. They follow in their turn as before, so that the mark of an answer keeps its meaning for entries and leaders of earlier builds. The leader keeps the changes in order of revision.

Tests: TestServedUpstreamsComeFirst (new, fails without the change), TestChangesOfUpstreamsAreBounded (new); the tests of control pass.

--- a/node/control.go
+++ b/node/control.go
@@ -113,6 +113,9 @@
 	// revision counts the changes of upstreams. It never decreases while the
 	// process runs, not even when leadership changes.
 	revision uint64
+	// changes holds the changes of upstreams by ascending revision. While thousands
+	// of upstreams start, 1,500 answers a second need those since some revision.
+	changes []upstreamChange
 	// pushedRevision is the revision that was last pushed to the entries, and
 	// nextPushAt is when a later one may be pushed.
 	pushedRevision uint64
@@ -172,6 +175,7 @@
 	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.waitingEnrollments, c.immediateEnrollments = nil, 0
+	c.changes = nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
 	c.replacement = nil
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -36,6 +36,9 @@
 	// have reported that.
 	sentRevision      uint64
 	upstreamsArriveAt catalog.Instant
+	// preferred holds the services whose upstreams were sent before their turn in
+	// this incarnation of the entry.
+	preferred map[catalog.ServiceID]bool
 	// membersSentAt is when the entry was last sent the list of control VMs.
 	membersSentAt catalog.Instant
 	// demandsUnchanged and primariesMark are from the last report.
@@ -177,7 +180,7 @@
 	}
 	if r.Incarnation != v.incarnation {
 		// What was sent to the entry before its restart does not arrive any more.
-		v.sentArrivesAt, v.upstreamsArriveAt = 0, 0
+		v.sentArrivesAt, v.upstreamsArriveAt, v.preferred = 0, 0, nil
 		c.limits.allocator.DropShares(from)
 	}
 	v.incarnation, v.sequence, v.reportedAt = r.Incarnation, r.Sequence, c.now
--- /dev/null
+++ b/node/control_upstream_list_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// reportUpstreams sends a report of e1 and returns the answer.
+func (w *soloControl) reportUpstreams(sequence uint64, mark wire.UpstreamsMark, services ...catalog.ServiceID) *wire.Answer {
+	w.step(MessageReceived{From: "e1", Message: wire.Message{Report: &wire.Report{
+		VM: "e1", Site: "s1", Incarnation: 1, Sequence: sequence, SettingsVersion: 1, UpstreamsMark: mark, EntriesMark: 1, Services: services,
+	}}})
+	return w.lastAnswer("e1")
+}
+
+func (w *soloControl) announceMany(count int) {
+	for n := range count {
+		a := testAnnouncement(catalog.InstanceID(fmt.Sprintf("i%04d", n)), catalog.RoleReplica, 1)
+		a.Service = largeServiceID(n / 3)
+		w.step(AnnouncementReceived{Announcement: a})
+	}
+}
+
+// TestServedUpstreamsComeFirst guards against an entry that waits for seconds for
+// the upstreams of the services that it owns, while it is sent thousands of others.
+func TestServedUpstreamsComeFirst(t *testing.T) {
+	Convey("the first part of a long list holds the upstreams of the entry's services, and the list gets complete", t, func() {
+		w := newLargeControl()
+		const upstreams = 1200
+		w.announceMany(upstreams)
+		own := largeServiceID(upstreams/3 - 1)
+		known, mark := map[catalog.InstanceID]bool{}, wire.UpstreamsMark{}
+		for sequence := uint64(1); mark.Revision != w.control.revision && sequence < 20; sequence++ {
+			a := w.reportUpstreams(sequence, mark, own)
+			So(len(a.Upstreams), ShouldBeLessThanOrEqualTo, maxUpstreamsPerAnswer)
+			if sequence == 1 {
+				So(a.Upstreams[0].Service, ShouldEqual, own)
+			}
+			for _, u := range a.Upstreams {
+				known[u.Instance] = true
+			}
+			mark = a.UpstreamsMark
+		}
+		So(known, ShouldHaveLength, upstreams)
+	})
+}
+
+// TestChangesOfUpstreamsAreBounded guards against a list of changes that grows with
+// each change of an upstream, and against one that loses an upstream.
+func TestChangesOfUpstreamsAreBounded(t *testing.T) {
+	Convey("an upstream that changed many times is listed once, and the others stay listed", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		So(w.runCommand(adoptCommand(1, time.Second)).Code, ShouldEqual, ReplyOK)
+		w.announceMany(3)
+		before := w.control.revision
+		for n := range 1000 {
+			a := testAnnouncement("i0000", catalog.RoleReplica, uint64(n+2))
+			a.Service, a.Address = largeServiceID(0), fmt.Sprintf("10.0.0.1:%d", n+1)
+			w.step(AnnouncementReceived{Announcement: a})
+		}
+		So(len(w.control.changes), ShouldBeLessThanOrEqualTo, 2*3+minChanges+1)
+		all, revision := w.control.upstreamsSince(0, maxUpstreamsPerAnswer)
+		So(all, ShouldHaveLength, 3)
+		So(revision, ShouldEqual, w.control.revision)
+		changed, _ := w.control.upstreamsSince(before, maxUpstreamsPerAnswer)
+		So(changed, ShouldHaveLength, 1)
+		So(changed[0].Address, ShouldEqual, "10.0.0.1:1000")
+	})
+}
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"time"
 
@@ -112,13 +110,6 @@
 	}
 }
 
-// advanceRevision marks an upstream as changed, so that it is sent to the
-// entries.
-func (c *Control) advanceRevision(u *upstreamView) {
-	c.revision++
-	u.revision = c.revision
-}
-
 // needsPush reports whether a newer announcement must be sent to the entries.
 // Entries don't use the role in it: they learn the primary with their leases, and
 // roles from the upstreams themselves.
@@ -140,63 +131,6 @@
 	return v.sentRevision > c.confirmedRevision(v) && c.now.Before(v.upstreamsArriveAt)
 }
 
-// confirmedRevision returns the revision of the upstreams that the entry knew at
-// its last report, zero if it got them from another leader.
-func (c *Control) confirmedRevision(v *entryView) uint64 {
-	if v.upstreamsMark.Leader != c.options.VM {
-		return 0
-	}
-	return v.upstreamsMark.Revision
-}
-
-// maxUpstreamsPerAnswer bounds the upstreams in one answer to about 32 kB, so that
-// the leases in later answers don't wait for a second behind a list of thousands
-// of upstreams, and a leader of 300 entries doesn't hold 90 MB of such lists.
-const maxUpstreamsPerAnswer = 320
-
-// upstreamsSince returns the first upstreams that changed after a revision, and the
-// revision that an entry has once it knows them. Upstreams of services that are not
-// configured yet are included, since the revision states that the entry has all.
-func (c *Control) upstreamsSince(since uint64) ([]catalog.Announcement, uint64) {
-	var changed []*upstreamView
-	for _, u := range c.upstreams {
-		if u.revision > since {
-			changed = append(changed, u)
-		}
-	}
-	// Each upstream has a revision of its own, so the order is unique.
-	slices.SortFunc(changed, func(x, y *upstreamView) int { return cmp.Compare(x.revision, y.revision) })
-	revision := c.revision
-	if len(changed) > maxUpstreamsPerAnswer {
-		changed = changed[:maxUpstreamsPerAnswer]
-		revision = changed[maxUpstreamsPerAnswer-1].revision
-	}
-	out := make([]catalog.Announcement, 0, len(changed))
-	for _, u := range changed {
-		out = append(out, u.announcement)
-	}
-	return out, revision
-}
-
-// addUpstreamsToAnswer adds the upstreams that changed after the revision that
-// the entry has confirmed.
-func (c *Control) addUpstreamsToAnswer(a *wire.Answer, v *entryView) {
-	if !c.options.DistributesUpstreams || c.areUpstreamsInFlight(v) {
-		return
-	}
-	since := c.confirmedRevision(v)
-	revision := c.revision
-	if since != revision {
-		a.Upstreams, revision = c.upstreamsSince(since)
-	}
-	v.sentRevision = revision
-	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: revision}
-	if since == c.revision {
-		return
-	}
-	v.upstreamsArriveAt = c.now.Add(c.options.Timings.ReportInterval + time.Duration(len(a.Upstreams))*upstreamTransferTime)
-}
-
 // proposeEnrollment records an upstream in the agreed state, so that the next
 // leader knows it too.
 func (c *Control) proposeEnrollment(a catalog.Announcement) {
