control: don't send the list of upstreams again after each election

Cause: a new leader could not tell which upstreams an entry has from the earlier one and sent all of 3,600 to each of 300 entries: 108 MB over links of 250 kB/s, each of which it fills for 1.4 s, with leases of 0.65 s.

Change: the mark of a complete list also names a digest of the list, behind the name of the leader. Entries return the mark as they got it. A leader that knows the digest sends what changed after it. Entries of earlier builds do so, too; a leader of an earlier build takes the mark for that of another leader and sends the whole list, as it did. No format changes.

--- a/node/control.go
+++ b/node/control.go
@@ -116,6 +116,10 @@
 	// changes holds the changes of upstreams by ascending revision. While thousands
 	// of upstreams start, 1,500 answers a second need those since some revision.
 	changes []upstreamChange
+	// listDigest identifies the upstreams whatever leader sent them, and
+	// revisionByDigest holds the revisions of earlier digests.
+	listDigest       uint64
+	revisionByDigest map[uint64]uint64
 	// pushedRevision is the revision that was last pushed to the entries, and
 	// nextPushAt is when a later one may be pushed.
 	pushedRevision uint64
@@ -175,7 +179,7 @@
 	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.waitingEnrollments, c.immediateEnrollments = nil, 0
-	c.changes = nil
+	c.changes, c.listDigest, c.revisionByDigest = nil, 0, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
 	c.replacement = nil
--- a/node/control_upstream_list.go
+++ b/node/control_upstream_list.go
@@ -23,6 +23,7 @@
 func (c *Control) advanceRevision(u *upstreamView) {
 	c.revision++
 	u.revision = c.revision
+	c.updateListDigest(u)
 	c.changes = append(c.changes, upstreamChange{revision: c.revision, upstream: u})
 	if len(c.changes) > 2*len(c.upstreams)+minChanges {
 		c.changes = slices.DeleteFunc(c.changes, upstreamChange.isOutdated)
@@ -34,12 +35,20 @@
 const minChanges = 64
 
 // confirmedRevision returns the revision of the upstreams that the entry knew at
-// its last report, zero if it got them from another leader.
+// its last report, zero if this leader does not know that.
 func (c *Control) confirmedRevision(v *entryView) uint64 {
-	if v.upstreamsMark.Leader != c.options.VM {
-		return 0
+	if v.upstreamsMark.Leader == c.options.VM {
+		return v.upstreamsMark.Revision
 	}
-	return v.upstreamsMark.Revision
+	leader, digest := splitListName(v.upstreamsMark.Leader)
+	revision := uint64(0)
+	if digest != 0 {
+		revision = c.revisionByDigest[digest]
+	}
+	if leader == c.options.VM {
+		revision = max(revision, v.upstreamsMark.Revision)
+	}
+	return revision
 }
 
 // maxUpstreamsPerAnswer bounds the upstreams in one answer to about 32 kB, so that
@@ -112,6 +121,9 @@
 	}
 	v.sentRevision = revision
 	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: revision}
+	if revision == c.revision {
+		a.UpstreamsMark.Leader = listName(c.options.VM, c.listDigest)
+	}
 	if since == c.revision {
 		return
 	}
--- a/node/control_upstream_list_test.go
+++ b/node/control_upstream_list_test.go
@@ -74,3 +74,41 @@
 		So(changed[0].Address, ShouldEqual, "10.0.0.1:1000")
 	})
 }
+
+// TestListIsKnownToTheNextLeader guards against a new leader that sends every entry
+// thousands of upstreams that the entry has from the earlier leader, over links that
+// this fills for seconds, and against one that holds back an upstream.
+func TestListIsKnownToTheNextLeader(t *testing.T) {
+	Convey("the next leader sends only what changed since the earlier leader's list", t, func() {
+		w := newLargeControl()
+		w.announceMany(900)
+		w.advance(100 * time.Millisecond)
+		mark := wire.UpstreamsMark{}
+		for sequence := uint64(1); mark.Revision != w.control.revision && sequence < 10; sequence++ {
+			mark = w.reportUpstreams(sequence, mark).UpstreamsMark
+		}
+		partial := wire.UpstreamsMark{Leader: "c0", Revision: mark.Revision}
+		leaderless := mark
+		_, digest := splitListName(mark.Leader)
+		leaderless.Leader, leaderless.Revision = listName("c0", digest), 5
+		w.control.resetLeaderState()
+		w.advance(10 * time.Millisecond)
+		So(w.control.upstreams, ShouldHaveLength, 900)
+		Convey("which is nothing if nothing changed", func() {
+			So(w.reportUpstreams(100, leaderless).Upstreams, ShouldBeEmpty)
+		})
+		Convey("which is a changed upstream", func() {
+			a := testAnnouncement("i0007", catalog.RoleReplica, 2)
+			a.Service, a.Address = largeServiceID(2), "10.9.9.9:1"
+			w.step(AnnouncementReceived{Announcement: a})
+			So(w.reportUpstreams(100, leaderless).Upstreams, ShouldHaveLength, 1)
+		})
+		Convey("and all of an incomplete list, or of a list of an earlier build", func() {
+			So(w.reportUpstreams(100, partial).Upstreams, ShouldHaveLength, maxUpstreamsPerAnswer)
+		})
+		Convey("and all if the list was another one", func() {
+			leaderless.Leader = listName("c0", digest+1)
+			So(w.reportUpstreams(100, leaderless).Upstreams, ShouldHaveLength, maxUpstreamsPerAnswer)
+		})
+	})
+}
