control: repeat a long configuration rarely enough for slow links

Cause: an entry without a configuration was sent all 3,152 routes (307 kB) again every 1.6 s until it confirmed them, and beside them 320 upstreams (32 kB) every half second: 265 kB a second for a link of 250 kB/s. What waits for the link only grows, and an entry drops answers to reports older than 4.3 s, so that it never gets a configuration and never serves.

Change: upstreams wait while settings that take longer than a report interval are on their way, and such settings are repeated after twice, then four and eight times their transfer time. Shorter ones are sent as before.

--- a/node/control_report.go
+++ b/node/control_report.go
@@ -53,6 +53,10 @@
 	// sent to it. sentArrivesAt is when these settings must have arrived.
 	sentFromVersion catalog.Version
 	sentArrivesAt   catalog.Instant
+	// settingsTransfer is how long these settings take on the link of the entry,
+	// zero if there were none. settingsRepeats counts how often they were repeated.
+	settingsTransfer time.Duration
+	settingsRepeats  int
 	// work is the work for saturated primaries of the last report.
 	work []wire.ServiceWork
 	// demands holds the demands of the last report that included them.
@@ -183,7 +187,7 @@
 	}
 	if r.Incarnation != v.incarnation {
 		// What was sent to the entry before its restart does not arrive any more.
-		v.sentArrivesAt, v.upstreamsArriveAt, v.preferred = 0, 0, nil
+		v.sentArrivesAt, v.upstreamsArriveAt, v.preferred, v.settingsTransfer = 0, 0, nil, 0
 		c.limits.allocator.DropShares(from)
 	}
 	v.incarnation, v.sequence, v.reportedAt = r.Incarnation, r.Sequence, c.now
@@ -300,7 +304,7 @@
 	default:
 		a.Version = c.state.Version
 		c.addSettingsToAnswer(a, v.settingsVersion)
-		v.sentFromVersion, v.sentArrivesAt = v.settingsVersion, c.now.Add(time.Duration(len(a.Routes)+len(a.Organisations))*routeTransferTime)
+		c.recordSettingsSent(v, time.Duration(len(a.Routes)+len(a.Organisations))*routeTransferTime)
 	}
 	c.addUpstreamsToAnswer(a, v)
 	c.addEntriesToAnswer(a, v)
@@ -311,18 +315,6 @@
 	return a
 }
 
-// routeTransferTime is how long the transfer of a route of about 70 bytes takes
-// to an entry with a link of 2 Mbit/s that carries other traffic as well.
-const routeTransferTime = 500 * time.Microsecond
-
-// isSettingsInFlight reports whether settings were sent to the entry that can't
-// have arrived yet. Without this check, each answer to a report would send a
-// configuration of thousands of routes again, and the link would be so full
-// that no answer arrives.
-func (c *Control) isSettingsInFlight(v *entryView) bool {
-	return c.options.DistributesUpstreams && v.sentFromVersion == v.settingsVersion && c.now.Before(v.sentArrivesAt)
-}
-
 // renewAllLeases renews all leases of an entry with a single field of the
 // answer. That requires that the entry knows the primaries in force and that no
 // failover of its services is in progress. It reports whether the leases were
--- a/node/control_upstream_list.go
+++ b/node/control_upstream_list.go
@@ -105,7 +105,7 @@
 // addUpstreamsToAnswer adds the upstreams that changed after the revision that
 // the entry has confirmed.
 func (c *Control) addUpstreamsToAnswer(a *wire.Answer, v *entryView) {
-	if !c.options.DistributesUpstreams || c.areUpstreamsInFlight(v) {
+	if !c.options.DistributesUpstreams || c.areUpstreamsInFlight(v) || c.areLongSettingsInFlight(v) {
 		return
 	}
 	since := c.confirmedRevision(v)
