control: bound surveys, and records of upstreams in each second

Change: at most 16 upstreams a second are proposed without waiting, others together every 100 ms. At most 128 services are surveyed at the same time.

--- a/node/control.go
+++ b/node/control.go
@@ -82,6 +82,9 @@
 	// allocations holds the connections of each upstream by entry.
 	allocations map[catalog.InstanceID]map[catalog.VMID]*allocation
 	failovers   map[catalog.ServiceID]*failover
+	// surveyed holds the services that were surveyed, those with open surveys at
+	// least.
+	surveyed map[catalog.ServiceID]bool
 	// proposals maps proposed records to the commands that wait for the commit.
 	proposals    map[quorum.Index]uint64
 	joinRequests map[catalog.VMID]catalog.Incarnation
@@ -101,10 +104,12 @@
 	nextJoinAt              catalog.Instant
 	nextSweepAt             catalog.Instant
 	initialServicesProposed bool
-	// waitingEnrollments are proposed by the next sweep. immediateEnrollments counts
-	// those that were proposed without waiting since the last sweep.
-	waitingEnrollments   []catalog.Announcement
-	immediateEnrollments int
+	// waitingEnrollments are proposed by the first sweep at or after nextEnrollmentAt.
+	// immediateEnrollments counts the upstreams to enroll until
+	// enrollmentWindowEndsAt.
+	waitingEnrollments                       []catalog.Announcement
+	immediateEnrollments                     int
+	nextEnrollmentAt, enrollmentWindowEndsAt catalog.Instant
 	// sites holds the active entries of each site.
 	sites siteLists
 	// limits divides the limits of organisations among the entries.
@@ -171,6 +176,7 @@
 	c.subscribers, c.leaseHolders = serviceVMs{}, serviceVMs{}
 	c.allocations = map[catalog.InstanceID]map[catalog.VMID]*allocation{}
 	c.failovers = map[catalog.ServiceID]*failover{}
+	c.surveyed = map[catalog.ServiceID]bool{}
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
--- a/node/control_quorum.go
+++ b/node/control_quorum.go
@@ -77,16 +77,33 @@
 	return true
 }
 
-// maxImmediateEnrollments is the number of upstreams in one sweepInterval that are
-// proposed as soon as they announce themselves. Further ones wait for the next
-// sweep and are proposed together: 3,600 upstreams that start within a heartbeat
-// would otherwise take 29,000 messages to eight other members, and as many answers.
-const maxImmediateEnrollments = 16
+const (
+	// maxImmediateEnrollments is the number of upstreams within enrollmentWindow that
+	// are proposed as soon as they announce themselves. Further ones are proposed
+	// together once per enrollmentInterval: 3,600 upstreams that start within a
+	// heartbeat would otherwise take 29,000 messages to eight other members, and as
+	// many answers, which is more than a leader with half of a core handles.
+	maxImmediateEnrollments = 16
+	enrollmentWindow        = time.Second
+	enrollmentInterval      = 100 * time.Millisecond
+)
+
+// mayEnrollNow reports whether an upstream may be proposed without waiting.
+func (c *Control) mayEnrollNow() bool {
+	if !c.now.Before(c.enrollmentWindowEndsAt) {
+		c.enrollmentWindowEndsAt, c.immediateEnrollments = c.now.Add(enrollmentWindow), 0
+	}
+	c.immediateEnrollments++
+	return c.immediateEnrollments <= maxImmediateEnrollments
+}
 
 // proposeEnrollments proposes the upstreams that wait for it.
 func (c *Control) proposeEnrollments() {
+	if len(c.waitingEnrollments) == 0 || c.now.Before(c.nextEnrollmentAt) {
+		return
+	}
 	waiting := c.waitingEnrollments
-	c.waitingEnrollments, c.immediateEnrollments = nil, 0
+	c.waitingEnrollments, c.nextEnrollmentAt = nil, c.now.Add(enrollmentInterval)
 	var list [][]byte
 	for _, a := range waiting {
 		if data, err := registry.Encode(registry.Change{Register: &a}); err == nil {
--- a/node/control_scale_test.go
+++ b/node/control_scale_test.go
@@ -72,3 +72,53 @@
 		})
 	})
 }
+
+// TestSurveysAreBounded guards against a leader that surveys all of 1,200 services at
+// once when they get their first primaries: the answers are handled so late that it
+// repeats the surveys for ever.
+func TestSurveysAreBounded(t *testing.T) {
+	Convey("the first primaries of many services are found in turn, and all of them are found", t, func() {
+		w := newLargeControl()
+		w.advance(5 * time.Second)
+		ready := func() int {
+			n := 0
+			for _, p := range w.control.state.Primaries {
+				if p.Ready {
+					n++
+				}
+			}
+			return n
+		}
+		for n := range largeFleetServices {
+			a := testAnnouncement(catalog.InstanceID(fmt.Sprintf("i%04d", n)), catalog.RolePrimary, 1)
+			a.Service = largeServiceID(n)
+			w.step(AnnouncementReceived{Announcement: a})
+		}
+		// The surveys after the first announcements keep connections open.
+		w.upstreamEffects = nil
+		for range 200 {
+			w.advance(20 * time.Millisecond)
+			surveys := 0
+			for _, x := range w.upstreamEffects {
+				if _, ok := x.(Survey); ok {
+					surveys++
+				}
+			}
+			So(surveys, ShouldBeLessThanOrEqualTo, 2*maxSurveyedServices)
+			effects := w.upstreamEffects
+			w.upstreamEffects = nil
+			for _, x := range effects {
+				switch v := x.(type) {
+				case Survey:
+					w.step(SurveyDone{Survey: v.Survey, Instance: v.Instance, Evidence: wire.EvidenceAlive, Role: catalog.RolePrimary, Position: catalog.Position{Term: 1, Offset: 1}})
+				case Promote:
+					w.step(PromoteDone{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch, OK: true, Position: catalog.Position{Term: 1, Offset: 1}})
+				}
+			}
+			if ready() == largeFleetServices {
+				break
+			}
+		}
+		So(ready(), ShouldEqual, largeFleetServices)
+	})
+}
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -20,7 +20,9 @@
 		return
 	}
 	if f.nextSurveyAt <= c.now && len(f.openSurveys) == 0 {
-		c.startSurvey(s, f)
+		if c.maySurvey() {
+			c.startSurvey(s, f)
+		}
 		return
 	}
 	if len(f.openSurveys) > 0 && f.surveyEndsAt <= c.now {
@@ -29,7 +31,27 @@
 	}
 }
 
+// maxSurveyedServices bounds the services that are surveyed at the same time. When
+// all of 1,200 services get their first primary, the answers of 3,600 upstreams would
+// otherwise come so late that the surveys have timed out and are repeated.
+const maxSurveyedServices = 128
+
+// maySurvey reports whether one more service may be surveyed now. A service that
+// must wait is asked for again by the next sweeps.
+func (c *Control) maySurvey() bool {
+	if len(c.surveyed) < maxSurveyedServices {
+		return true
+	}
+	for id := range c.surveyed {
+		if f := c.failovers[id]; f == nil || len(f.openSurveys) == 0 {
+			delete(c.surveyed, id)
+		}
+	}
+	return len(c.surveyed) < maxSurveyedServices
+}
+
 func (c *Control) startSurvey(s catalog.Service, f *failover) {
+	c.surveyed[s.ID] = true
 	f.answers = map[catalog.InstanceID]SurveyDone{}
 	f.surveyEndsAt = c.now.Add(c.surveyTimeout())
 	f.nextSurveyAt = c.now.Add(surveyRetryDelay)
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -140,8 +140,7 @@
 	// The next leader learns the role and the position from the upstream's next
 	// announcement.
 	a.Role, a.Position = catalog.RoleUnknown, catalog.Position{}
-	if c.immediateEnrollments < maxImmediateEnrollments {
-		c.immediateEnrollments++
+	if c.mayEnrollNow() {
 		c.propose(registry.Change{Register: &a}, 0)
 		return
 	}
