control: send a long first configuration as an answer to a report

Cause: when a configuration is accepted, each entry got it at once, as a further answer to its last report. 307 kB take a link of 250 kB/s more than a second, the entry misses answers and gives its leader up, and drops a further answer that does not come from its leader. It was also repeated when the report that confirms it was on its way.

Change: an entry without a configuration gets a long one with the answer to its next report; such a configuration counts as on its way for two report intervals more.

Tests: TestLongConfigurationComesWithAnAnswer (new; it was pushed before).

--- a/node/control_inflight.go
+++ b/node/control_inflight.go
@@ -32,6 +32,10 @@
 	}
 	v.settingsTransfer, v.sentFromVersion = transfer, v.settingsVersion
 	v.sentArrivesAt = c.now.Add(transfer << v.settingsRepeats)
+	if transfer > c.options.Timings.ReportInterval {
+		// The entry confirms them with its next report.
+		v.sentArrivesAt = v.sentArrivesAt.Add(2 * c.options.Timings.ReportInterval)
+	}
 }
 
 // areLongSettingsInFlight reports whether the entry's link is busy with settings for
@@ -40,3 +44,10 @@
 func (c *Control) areLongSettingsInFlight(v *entryView) bool {
 	return v.settingsTransfer > c.options.Timings.ReportInterval && c.isSettingsInFlight(v)
 }
+
+// isConfigurationLong reports whether the whole configuration takes an entry's link
+// longer than a report interval.
+func (c *Control) isConfigurationLong() bool {
+	items := len(c.state.Routes) + len(c.state.Organisations)
+	return time.Duration(items)*routeTransferTime > c.options.Timings.ReportInterval
+}
--- a/node/control_inflight_test.go
+++ b/node/control_inflight_test.go
@@ -62,3 +62,32 @@
 		So(longest, ShouldBeLessThan, 4*time.Second)
 	})
 }
+
+// TestLongConfigurationComesWithAnAnswer guards against a long first configuration
+// that the entry drops: it comes as a second answer to a report, after the entry has
+// given its leader up since nothing came while the link was busy.
+func TestLongConfigurationComesWithAnAnswer(t *testing.T) {
+	for _, routes := range []int{20, 3152} {
+		Convey(fmt.Sprintf("a first configuration of %d routes", routes), t, func() {
+			w := newLargeControl()
+			report := func(sequence uint64) {
+				w.step(MessageReceived{From: "e1", Message: wire.Message{Report: &wire.Report{
+					VM: "e1", Site: "s1", Incarnation: 1, Sequence: sequence, EntriesMark: 1,
+				}}})
+			}
+			report(1)
+			c := catalog.Configuration{Version: 2, Services: w.control.state.Services}
+			for n := range routes {
+				c.Routes = append(c.Routes, catalog.Route{
+					RouteKey: catalog.RouteKey{Database: fmt.Sprintf("d%04d", n)}, Service: largeServiceID(n % largeFleetServices), Timeout: time.Second,
+				})
+			}
+			So(w.runCommand(Command{Adopt: &AdoptSettings{Configuration: c}}).Code, ShouldEqual, ReplyOK)
+			wasPushed := len(w.lastAnswer("e1").Routes) > 0
+			So(wasPushed, ShouldEqual, routes == 20)
+			w.advance(200 * time.Millisecond)
+			report(2)
+			So(w.lastAnswer("e1").Routes, ShouldHaveLength, routes)
+		})
+	}
+}
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -394,9 +394,15 @@
 	return wire.Lease{Primary: p, Length: length}
 }
 
-// pushAll sends changed settings to all entries.
+// pushAll sends changed settings to all entries. An entry that needs a long
+// configuration gets it with the answer to its next report: a further answer to an
+// earlier report is dropped if the entry has lost its leader when it arrives, which
+// is more than a second later.
 func (c *Control) pushAll() {
 	for _, vm := range c.entryVMs() {
+		if c.options.DistributesUpstreams && c.entries[vm].settingsVersion == 0 && c.isConfigurationLong() {
+			continue
+		}
 		c.push(vm)
 	}
 }
