capacity: play the start of a fleet that knows nothing, with its costs

The model of a fleet started with all upstreams and a configuration, so that it did not show why 300 VMs serve nothing.

Tests: TestFleetStartsEmpty (new), the other tests of the model pass.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"runtime"
 	"runtime/pprof"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -41,8 +42,12 @@
 	Routes   int
 	// Length is how long the play takes. A route is changed every ConfigInterval.
 	Length, ConfigInterval time.Duration
-	// HeapProfile receives a heap profile of the whole model if it is not nil.
-	HeapProfile io.Writer
+	// StartsEmpty is set if control knows no upstream and no configuration at the
+	// start. The configuration comes with the first change.
+	StartsEmpty bool
+	// HeapProfile receives a heap profile of the whole model if it is not nil, and
+	// ProcessorProfile a profile of the processor time.
+	HeapProfile, ProcessorProfile io.Writer
 }
 
 // Fleet is the cost of control in a play of a fleet.
@@ -61,6 +66,15 @@
 	Leaders, Promotions, Stored int
 	// Informed is the number of entries that have the newest configuration.
 	Informed int
+	// FirstInformed is how long after the first configuration 98% of the entries
+	// had one, if the fleet started empty; zero if that did not happen.
+	FirstInformed time.Duration
+	// Ready is the number of entries that hold a lease at the end, and Queue the
+	// highest number of inputs that waited at a control VM.
+	Ready, Queue int
+	// Leader, Follower and Entry are the costs of the leader's, the middle
+	// follower's and the middle entry's reducer.
+	Leader, Follower, Entry StepCost
 }
 
 // fleetMeter counts the bytes of control's messages and delays those to entries
@@ -75,6 +89,11 @@
 	versions map[catalog.VMID]catalog.Version
 	version  catalog.Version
 	random   *rand.Rand
+	// costs holds the processor time of each VM's reducer.
+	costs   map[catalog.VMID]*StepCost
+	started catalog.Instant
+	// startsEmpty is that of the load.
+	startsEmpty bool
 }
 
 func messageKind(m wire.Message) string {
@@ -137,12 +156,13 @@
 func PlayFleet(l FleetLoad) (Fleet, error) {
 	f := &fleetMeter{
 		result: Fleet{Sent: map[string]int{}}, queued: map[catalog.VMID]int{}, versions: map[catalog.VMID]catalog.Version{},
-		linkFreeAt: map[catalog.VMID]catalog.Instant{}, random: rand.New(rand.NewPCG(l.Seed, 2)), version: 2,
+		linkFreeAt: map[catalog.VMID]catalog.Instant{}, costs: map[catalog.VMID]*StepCost{}, startsEmpty: l.StartsEmpty, random: rand.New(rand.NewPCG(l.Seed, 2)), version: 2,
 	}
 	w := newRecoverySim(l.RecoveryLoad)
 	w.meter, w.controlCount, w.isOutage = f, l.Controls, true
 	w.slots = fleetSlots
 	w.snapshotAfter, w.snapshotAfterBytes = fleetSnapshotAfter, fleetSnapshotAfterBytes
+	f.started = w.now
 	state := newState(l.Services, l.Instances)
 	// Services and routes that no change has marked would not be sent to entries.
 	services := state.Services
@@ -153,18 +173,28 @@
 	state.Apply(registry.Change{Adopt: &registry.AdoptConfiguration{
 		Version: f.version, Services: services, Routes: newRoutes(l.Routes, l.Services),
 	}})
-	if err := w.start(state); err != nil {
+	first := warmUp
+	initial := state
+	if l.StartsEmpty {
+		first, initial = firstConfigurationAt, registry.New()
+	}
+	if err := w.start(initial); err != nil {
 		return Fleet{}, errors.Trace(err)
 	}
-	for at := warmUp; at < l.Length; at += l.ConfigInterval {
+	if l.ProcessorProfile != nil {
+		if err := pprof.StartCPUProfile(l.ProcessorProfile); err != nil {
+			return Fleet{}, errors.Trace(err)
+		}
+	}
+	for at := first; at < l.Length; at += l.ConfigInterval {
 		w.schedule(at, func() { f.changeConfiguration(w, state) })
 	}
 	w.advance(l.Length)
-	for _, e := range w.entries {
-		if f.versions[e.id] == f.version {
-			f.result.Informed++
-		}
+	if l.ProcessorProfile != nil {
+		pprof.StopCPUProfile()
 	}
+	f.addCosts(w)
+	f.countEntries(w)
 	f.result.Leaders = w.result.Leaders
 	if l.HeapProfile != nil {
 		runtime.GC()
@@ -184,6 +214,20 @@
 	return f.result, nil
 }
 
+// promotionTime is how long a call of the platform and the survey after it take.
+const promotionTime = 30 * time.Millisecond
+
+func roleOfInstance(id catalog.InstanceID) catalog.Role {
+	if strings.HasSuffix(string(id), primarySuffix) {
+		return catalog.RolePrimary
+	}
+	return catalog.RoleReplica
+}
+
+// firstConfigurationAt is when the first configuration comes if the fleet starts
+// empty.
+const firstConfigurationAt = 2 * time.Second
+
 func newRoutes(n, services int) []catalog.Route {
 	var out []catalog.Route
 	for i := range n {
@@ -224,8 +268,16 @@
 		}
 	case node.Promote:
 		f.result.Promotions++
+		w.later(v, promotionTime, func() {
+			w.feed(v, node.PromoteDone{
+				Service: e.Service, Instance: e.Instance, Epoch: e.Epoch, OK: true, Position: catalog.Position{Term: term, Offset: baseOffset},
+			})
+		})
 	case node.RoutesChanged:
 		f.versions[v.id] = e.Version
+		if f.result.FirstInformed == 0 && f.startsEmpty && 100*len(f.versions) >= recoveredPercent*len(w.entries) {
+			f.result.FirstInformed = w.now.Sub(f.started) - firstConfigurationAt
+		}
 	case node.Probe:
 		w.later(v, networkLatency, func() { f.answerProbe(w, v, e) })
 	}
--- a/capacity/fleet_test.go
+++ b/capacity/fleet_test.go
@@ -28,6 +28,23 @@
 	}
 }
 
+// TestFleetStartsEmpty guards against a leader that is so late when a fleet starts
+// with empty disks that no entry gets its first configuration: upstreams, surveys,
+// reports and configurations come together then.
+func TestFleetStartsEmpty(t *testing.T) {
+	r, err := PlayFleet(FleetLoad{
+		RecoveryLoad: RecoveryLoad{Entries: 150, Services: 600, Instances: 3, Voters: 5},
+		Controls:     9, Routes: 1575, Length: 6 * time.Second, ConfigInterval: 2 * time.Second, StartsEmpty: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", r)
+	if r.Informed != 150 || r.Leaders != 1 || r.FirstInformed > 2*time.Second {
+		t.Errorf("%d entries are informed, the first configuration took %v, %d leaders", r.Informed, r.FirstInformed, r.Leaders)
+	}
+}
+
 // TestFleetFitsIntoMemory guards against a leader whose memory at the start of a
 // fleet grows with the product of entries and the length of the lists that each of
 // them gets. Half of a control VM's 280 MB are for 300 entries with 1,200 services,
--- a/capacity/recovery.go
+++ b/capacity/recovery.go
@@ -72,6 +72,8 @@
 	step           func(node.Event) []node.Effect
 	isControl      bool
 	urgent, inputs []node.Input
+	// waiting holds the newest input of each key in inputs.
+	waiting map[node.InputKey]node.Input
 	// run numbers the runs of the process. Events of earlier runs are dropped.
 	run      int
 	isDown   bool
@@ -179,6 +181,9 @@
 			// Control records no roles, so a new leader learns these again.
 			a := newAnnouncement(s, i, 0)
 			a.Role, a.Position, a.Slots = catalog.RoleUnknown, catalog.Position{}, w.slots
+			if state.Version == 0 && w.meter != nil {
+				continue
+			}
 			state.Upstreams = append(state.Upstreams, a)
 		}
 	}
@@ -191,7 +196,7 @@
 		members = append(members, quorum.Member{VM: vm, Incarnation: 1, Voter: n < w.load.Voters})
 	}
 	for n, vm := range w.controlIDs() {
-		k := &modelVM{id: vm, isControl: true}
+		k := &modelVM{id: vm, isControl: true, waiting: map[node.InputKey]node.Input{}}
 		w.vms[vm], w.controls = k, append(w.controls, k)
 		w.saved = append(w.saved, quorum.PersistentState{
 			Self: members[n], Snapshot: quorum.Snapshot{Index: 1, Ballot: 1, Members: members, Data: data},
@@ -201,7 +206,7 @@
 		}
 	}
 	for n := range w.load.Entries {
-		e := &modelVM{id: entryID(n)}
+		e := &modelVM{id: entryID(n), waiting: map[node.InputKey]node.Input{}}
 		w.vms[e.id], w.entries = e, append(w.entries, e)
 		w.startEntry(e)
 	}
@@ -244,6 +249,7 @@
 func (w *recoverySim) fail(v *modelVM, downFor time.Duration) {
 	v.run++
 	v.isDown, v.isActive, v.urgent, v.inputs, v.timerAt = true, false, nil, nil, 0
+	clear(v.waiting)
 	w.schedule(downFor, func() {
 		v.isDown = false
 		if !v.isControl {
@@ -278,8 +284,13 @@
 	}
 	if node.IsUrgent(in) {
 		v.urgent = append(v.urgent, in)
-	} else {
+	} else if key, ok := node.KeyOf(in); !ok {
 		v.inputs = append(v.inputs, in)
+	} else if earlier, ok := v.waiting[key]; !ok {
+		v.inputs = append(v.inputs, key)
+		v.waiting[key] = in
+	} else if node.Supersedes(in, earlier) {
+		v.waiting[key] = in
 	}
 	if !v.isActive {
 		v.isActive = true
@@ -298,6 +309,10 @@
 		in, v.timerAt = node.TimerFired{}, 0
 	case len(v.inputs) > 0:
 		in, v.inputs = v.inputs[0], v.inputs[1:]
+		if key, ok := in.(node.InputKey); ok {
+			in = v.waiting[key]
+			delete(v.waiting, key)
+		}
 	default:
 		v.isActive = false
 		return
@@ -306,7 +321,7 @@
 	if v.isControl {
 		used = controlInputTime
 	}
-	for _, x := range v.step(node.Event{Now: w.now, Input: in}) {
+	for _, x := range w.step(v, in) {
 		if m, ok := x.(node.SendMessage); ok && v.isControl {
 			used += controlMessageTime
 			w.recordAnswer(v, m)
@@ -316,6 +331,17 @@
 	w.later(v, used, func() { w.work(v) })
 }
 
+func (w *recoverySim) step(v *modelVM, in node.Input) []node.Effect {
+	e := node.Event{Now: w.now, Input: in}
+	if w.meter == nil {
+		return v.step(e)
+	}
+	started := time.Now()
+	effects := v.step(e)
+	w.meter.recordStep(w, v, time.Since(started))
+	return effects
+}
+
 // later schedules a callback of a process. It is dropped if the process ends
 // before it is due.
 func (w *recoverySim) later(v *modelVM, d time.Duration, do func()) {
@@ -361,7 +387,11 @@
 		w.later(v, networkLatency, func() { w.feed(v, node.ConnLost{Conn: e.Conn}) })
 	case node.Survey:
 		w.later(v, connectTime, func() {
-			w.feed(v, node.SurveyDone{Survey: e.Survey, Instance: e.Instance, Evidence: wire.EvidenceAlive, Role: catalog.RoleReplica})
+			role := catalog.RoleReplica
+			if w.meter != nil {
+				role = roleOfInstance(e.Instance)
+			}
+			w.feed(v, node.SurveyDone{Survey: e.Survey, Instance: e.Instance, Evidence: wire.EvidenceAlive, Role: role})
 		})
 	}
 }
--- a/cmd/kingcupknot-slopes/fleet.go
+++ b/cmd/kingcupknot-slopes/fleet.go
@@ -19,6 +19,8 @@
 	Controls  int           `long:"controls" default:"9" description:"Control VMs."`
 	Voters    int           `long:"voters" default:"5" description:"Control VMs that vote."`
 	Length    time.Duration `long:"length" default:"20s" description:"Length of the play; the configuration is changed every second from 8 s on."`
+	Empty     bool          `long:"empty" description:"Start without upstreams and configuration; the first one comes after 2 s."`
+	CPU       string        `long:"cpu" value-name:"FILE" description:"Write a processor profile of the play."`
 	Heap      string        `long:"heap" value-name:"FILE" description:"Write a heap profile of the whole model."`
 }
 
@@ -29,7 +31,7 @@
 	}
 	l := capacity.FleetLoad{
 		RecoveryLoad: capacity.RecoveryLoad{Entries: c.Entries, Services: c.Services, Instances: c.Instances, Voters: c.Voters},
-		Controls:     c.Controls, Routes: c.Routes, Length: c.Length, ConfigInterval: time.Second,
+		Controls:     c.Controls, Routes: c.Routes, Length: c.Length, ConfigInterval: time.Second, StartsEmpty: c.Empty,
 	}
 	if c.Heap != "" {
 		f, err := os.Create(c.Heap)
@@ -39,6 +41,14 @@
 		defer f.Close()
 		l.HeapProfile = f
 	}
+	if c.CPU != "" {
+		f, err := os.Create(c.CPU)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer f.Close()
+		l.ProcessorProfile = f
+	}
 	r, err := capacity.PlayFleet(l)
 	if err != nil {
 		return errors.Trace(err)
