--- a/node/control.go
+++ b/node/control.go
@@ -82,6 +82,9 @@
 	// allocations holds the connections of each upstream by entry.
 	allocations map[catalog.InstanceID]map[catalog.VMID]*allocation
 	failovers   map[catalog.ServiceID]*failover
+	// surveyed holds the services that were surveyed, those with open surveys at
+	// least.
+	surveyed map[catalog.ServiceID]bool
 	// proposals maps proposed records to the commands that wait for the commit.
 	proposals    map[quorum.Index]uint64
 	joinRequests map[catalog.VMID]catalog.Incarnation
@@ -90,7 +93,10 @@
 	// lateUntil is until when no observation counts as this VM was late.
 	lateUntil catalog.Instant
 	// suspectUntil holds until when every sweep checks a suspected service.
-	suspectUntil            map[catalog.ServiceID]catalog.Instant
+	suspectUntil map[catalog.ServiceID]catalog.Instant
+	// lastChecked is the last service that a sweep checked of more than one sweep
+	// may check.
+	lastChecked             catalog.ServiceID
 	nextFullCheckAt         catalog.Instant
 	lastSurveyNumber        uint64
 	nextFollowAt            catalog.Instant
@@ -98,6 +104,12 @@
 	nextJoinAt              catalog.Instant
 	nextSweepAt             catalog.Instant
 	initialServicesProposed bool
+	// waitingEnrollments are proposed by the first sweep at or after nextEnrollmentAt.
+	// immediateEnrollments counts the upstreams to enroll until
+	// enrollmentWindowEndsAt.
+	waitingEnrollments                       []catalog.Announcement
+	immediateEnrollments                     int
+	nextEnrollmentAt, enrollmentWindowEndsAt catalog.Instant
 	// sites holds the active entries of each site.
 	sites siteLists
 	// limits divides the limits of organisations among the entries.
@@ -106,6 +118,13 @@
 	// revision counts the changes of upstreams. It never decreases while the
 	// process runs, not even when leadership changes.
 	revision uint64
+	// changes holds the changes of upstreams by ascending revision. While thousands
+	// of upstreams start, 1,500 answers a second need those since some revision.
+	changes []upstreamChange
+	// listDigest identifies the upstreams whatever leader sent them, and
+	// revisionByDigest holds the revisions of earlier digests.
+	listDigest       uint64
+	revisionByDigest map[uint64]uint64
 	// pushedRevision is the revision that was last pushed to the entries, and
 	// nextPushAt is when a later one may be pushed.
 	pushedRevision uint64
@@ -157,6 +176,7 @@
 	c.subscribers, c.leaseHolders = serviceVMs{}, serviceVMs{}
 	c.allocations = map[catalog.InstanceID]map[catalog.VMID]*allocation{}
 	c.failovers = map[catalog.ServiceID]*failover{}
+	c.surveyed = map[catalog.ServiceID]bool{}
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
@@ -164,6 +184,8 @@
 	c.resetLimits()
 	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
+	c.waitingEnrollments, c.immediateEnrollments = nil, 0
+	c.changes, c.listDigest, c.revisionByDigest = nil, 0, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
 	c.replacement = nil
@@ -324,6 +346,7 @@
 // sweep runs the leader's periodic checks.
 func (c *Control) sweep() {
 	c.proposeInitialServices()
+	c.proposeEnrollments()
 	c.updateSites()
 	c.updateSiteShares()
 	c.pushChangedUpstreams()
--- a/node/control_quorum.go
+++ b/node/control_quorum.go
@@ -77,6 +77,47 @@
 	return true
 }
 
+const (
+	// maxImmediateEnrollments is the number of upstreams within enrollmentWindow that
+	// are proposed as soon as they announce themselves. Further ones are proposed
+	// together once per enrollmentInterval: 3,600 upstreams that start within a
+	// heartbeat would otherwise take 29,000 messages to eight other members, and as
+	// many answers, which is more than a leader with half of a core handles.
+	maxImmediateEnrollments = 16
+	enrollmentWindow        = time.Second
+	enrollmentInterval      = 100 * time.Millisecond
+)
+
+// mayEnrollNow reports whether an upstream may be proposed without waiting.
+func (c *Control) mayEnrollNow() bool {
+	if !c.now.Before(c.enrollmentWindowEndsAt) {
+		c.enrollmentWindowEndsAt, c.immediateEnrollments = c.now.Add(enrollmentWindow), 0
+	}
+	c.immediateEnrollments++
+	return c.immediateEnrollments <= maxImmediateEnrollments
+}
+
+// proposeEnrollments proposes the upstreams that wait for it.
+func (c *Control) proposeEnrollments() {
+	if len(c.waitingEnrollments) == 0 || c.now.Before(c.nextEnrollmentAt) {
+		return
+	}
+	waiting := c.waitingEnrollments
+	c.waitingEnrollments, c.nextEnrollmentAt = nil, c.now.Add(enrollmentInterval)
+	var list [][]byte
+	for _, a := range waiting {
+		if data, err := registry.Encode(registry.Change{Register: &a}); err == nil {
+			list = append(list, data)
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	if _, out, err := c.quorum.ProposeAll(c.now, list); err == nil {
+		c.applyQuorumOutput(out)
+	}
+}
+
 func (c *Control) applyRecord(r quorum.Record) {
 	c.appliedIndex = r.Index
 	if len(r.Data) == 0 {
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -36,6 +36,9 @@
 	// have reported that.
 	sentRevision      uint64
 	upstreamsArriveAt catalog.Instant
+	// preferred holds the services whose upstreams were sent before their turn in
+	// this incarnation of the entry.
+	preferred map[catalog.ServiceID]bool
 	// membersSentAt is when the entry was last sent the list of control VMs.
 	membersSentAt catalog.Instant
 	// demandsUnchanged and primariesMark are from the last report.
@@ -50,6 +53,10 @@
 	// sent to it. sentArrivesAt is when these settings must have arrived.
 	sentFromVersion catalog.Version
 	sentArrivesAt   catalog.Instant
+	// settingsTransfer is how long these settings take on the link of the entry,
+	// zero if there were none. settingsRepeats counts how often they were repeated.
+	settingsTransfer time.Duration
+	settingsRepeats  int
 	// work is the work for saturated primaries of the last report.
 	work []wire.ServiceWork
 	// demands holds the demands of the last report that included them.
@@ -91,6 +98,9 @@
 	// revision is the leader's revision at the last change that must be sent to
 	// the entries.
 	revision uint64
+	// digest is the upstream's part of the digest of the list, zero while it is
+	// leaving.
+	digest uint64
 }
 
 func (c *Control) handleAnnouncement(a catalog.Announcement) {
@@ -177,7 +187,7 @@
 	}
 	if r.Incarnation != v.incarnation {
 		// What was sent to the entry before its restart does not arrive any more.
-		v.sentArrivesAt, v.upstreamsArriveAt = 0, 0
+		v.sentArrivesAt, v.upstreamsArriveAt, v.preferred, v.settingsTransfer = 0, 0, nil, 0
 		c.limits.allocator.DropShares(from)
 	}
 	v.incarnation, v.sequence, v.reportedAt = r.Incarnation, r.Sequence, c.now
@@ -187,14 +197,12 @@
 	for _, a := range r.Announcements {
 		c.handleAnnouncement(a)
 	}
-	anySuspect := c.recordObservations(from, r.Observations)
+	suspects := c.recordObservations(from, r.Observations)
 	if !r.DemandsUnchanged {
 		c.updateDemands(from, v, r.Demands)
 	}
 	v.demandsUnchanged, v.primariesMark, v.entriesMark = r.DemandsUnchanged, r.PrimariesMark, r.EntriesMark
-	if anySuspect {
-		c.checkSuspects()
-	}
+	c.checkReported(suspects)
 	c.recordUsage(from, r)
 	c.sendAnswer(from, v)
 }
@@ -220,10 +228,10 @@
 	return v
 }
 
-// recordObservations stores what an entry observed. It reports whether any
-// observation indicates that an upstream is down.
-func (c *Control) recordObservations(vm catalog.VMID, list []wire.Observation) bool {
-	anySuspect := false
+// recordObservations stores what an entry observed, and returns the services with
+// an observation that indicates that an upstream is down.
+func (c *Control) recordObservations(vm catalog.VMID, list []wire.Observation) []catalog.ServiceID {
+	var suspects []catalog.ServiceID
 	for _, o := range list {
 		recorded := observation{evidence: o.Evidence, gatheredAt: c.now.Add(-o.Age), reportedAt: c.now, role: o.Role, position: o.Position}
 		if o.AliveAge >= 0 {
@@ -236,10 +244,10 @@
 		c.observations[o.Instance][vm] = recorded
 		if o.Evidence == wire.EvidenceRefused || o.Evidence == wire.EvidenceTimeout {
 			c.markSuspect(o.Service)
-			anySuspect = true
+			suspects = append(suspects, o.Service)
 		}
 	}
-	return anySuspect
+	return suspects
 }
 
 // lastAliveAt returns when an upstream last responded to the entry. A report may
@@ -296,7 +304,7 @@
 	default:
 		a.Version = c.state.Version
 		c.addSettingsToAnswer(a, v.settingsVersion)
-		v.sentFromVersion, v.sentArrivesAt = v.settingsVersion, c.now.Add(time.Duration(len(a.Routes)+len(a.Organisations))*routeTransferTime)
+		c.recordSettingsSent(v, time.Duration(len(a.Routes)+len(a.Organisations))*routeTransferTime)
 	}
 	c.addUpstreamsToAnswer(a, v)
 	c.addEntriesToAnswer(a, v)
@@ -307,18 +315,6 @@
 	return a
 }
 
-// routeTransferTime is how long the transfer of a route of about 70 bytes takes
-// to an entry with a link of 2 Mbit/s that carries other traffic as well.
-const routeTransferTime = 500 * time.Microsecond
-
-// isSettingsInFlight reports whether settings were sent to the entry that can't
-// have arrived yet. Without this check, each answer to a report would send a
-// configuration of thousands of routes again, and the link would be so full
-// that no answer arrives.
-func (c *Control) isSettingsInFlight(v *entryView) bool {
-	return c.options.DistributesUpstreams && v.sentFromVersion == v.settingsVersion && c.now.Before(v.sentArrivesAt)
-}
-
 // renewAllLeases renews all leases of an entry with a single field of the
 // answer. That requires that the entry knows the primaries in force and that no
 // failover of its services is in progress. It reports whether the leases were
@@ -398,9 +394,15 @@
 	return wire.Lease{Primary: p, Length: length}
 }
 
-// pushAll sends changed settings to all entries.
+// pushAll sends changed settings to all entries. An entry that needs a long
+// configuration gets it with the answer to its next report: a further answer to an
+// earlier report is dropped if the entry has lost its leader when it arrives, which
+// is more than a second later.
 func (c *Control) pushAll() {
 	for _, vm := range c.entryVMs() {
+		if c.options.DistributesUpstreams && c.entries[vm].settingsVersion == 0 && c.isConfigurationLong() {
+			continue
+		}
 		c.push(vm)
 	}
 }
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -20,7 +20,9 @@
 		return
 	}
 	if f.nextSurveyAt <= c.now && len(f.openSurveys) == 0 {
-		c.startSurvey(s, f)
+		if c.maySurvey() {
+			c.startSurvey(s, f)
+		}
 		return
 	}
 	if len(f.openSurveys) > 0 && f.surveyEndsAt <= c.now {
@@ -29,7 +31,27 @@
 	}
 }
 
+// maxSurveyedServices bounds the services that are surveyed at the same time. When
+// all of 1,200 services get their first primary, the answers of 3,600 upstreams would
+// otherwise come so late that the surveys have timed out and are repeated.
+const maxSurveyedServices = 128
+
+// maySurvey reports whether one more service may be surveyed now. A service that
+// must wait is asked for again by the next sweeps.
+func (c *Control) maySurvey() bool {
+	if len(c.surveyed) < maxSurveyedServices {
+		return true
+	}
+	for id := range c.surveyed {
+		if f := c.failovers[id]; f == nil || len(f.openSurveys) == 0 {
+			delete(c.surveyed, id)
+		}
+	}
+	return len(c.surveyed) < maxSurveyedServices
+}
+
 func (c *Control) startSurvey(s catalog.Service, f *failover) {
+	c.surveyed[s.ID] = true
 	f.answers = map[catalog.InstanceID]SurveyDone{}
 	f.surveyEndsAt = c.now.Add(c.surveyTimeout())
 	f.nextSurveyAt = c.now.Add(surveyRetryDelay)
@@ -39,19 +61,24 @@
 }
 
 func (c *Control) handleSurveyDone(v SurveyDone) {
-	for id, f := range c.failovers {
-		if f.openSurveys[v.Survey] != v.Instance || f.phase != phaseSurvey {
-			continue
-		}
-		delete(f.openSurveys, v.Survey)
-		if v.Evidence == wire.EvidenceAlive {
-			f.answers[v.Instance] = v
-		}
-		if s, ok := c.state.Service(id); ok {
-			c.survey(s, f)
-		}
+	u := c.upstreams[v.Instance]
+	if u == nil {
 		return
 	}
+	// Each survey of a new leader of 3,600 upstreams ends here, most without a
+	// failover, so that a search of all failovers would take too long.
+	id := u.announcement.Service
+	f := c.failovers[id]
+	if f == nil || f.openSurveys[v.Survey] != v.Instance || f.phase != phaseSurvey {
+		return
+	}
+	delete(f.openSurveys, v.Survey)
+	if v.Evidence == wire.EvidenceAlive {
+		f.answers[v.Instance] = v
+	}
+	if s, ok := c.state.Service(id); ok {
+		c.survey(s, f)
+	}
 }
 
 // tryElect elects the next primary if the answers suffice. It reports whether
--- a/node/entry_owner_organisation.go
+++ b/node/entry_owner_organisation.go
@@ -160,7 +160,7 @@
 	if e.owners.mark == 0 {
 		return &ownerParts{own: -1}
 	}
-	e.rankOwners()
+	e.rankOwners(s)
 	owners := s.owners[:min(e.ownerCount(s), len(s.owners))]
 	p := &s.parts
 	if p.from != e.organisations || p.mark != e.owners.mark || p.services != len(e.serviceIDs) || len(p.shares) != len(owners) {
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -126,6 +126,9 @@
 	// owners are the entries of the site ranked for the service. The first ones
 	// own it.
 	owners []catalog.VMID
+	// rankedMark is the mark of the entries for which owners was ranked by hashing
+	// alone, zero if it was not.
+	rankedMark uint64
 	// parts are the owners' parts of the work of organisations.
 	parts ownerParts
 	// isObserved is set if this entry is one of the service's observers.
