--- a/node/control_report.go
+++ b/node/control_report.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -10,99 +9,6 @@
 	"github.com/kingcupknot/kingcupknot/wire"
 )
 
-// entryView is the leader's view of one entry.
-type entryView struct {
-	site catalog.SiteID
-	// incarnation and sequence are those of the last accepted report. An older
-	// report is dropped, but a lower incarnation is accepted from an entry that
-	// has not reported recently.
-	incarnation uint64
-	sequence    uint64
-	// reportedAt is when the report with that sequence arrived.
-	reportedAt      catalog.Instant
-	settingsVersion catalog.Version
-	// aliveWithin is from the last report; lastAliveAt uses it.
-	aliveWithin time.Duration
-	leaving     bool
-	services    []catalog.ServiceID
-	// leases holds the epoch in which, and the time until which, the entry may
-	// acknowledge writes, by service.
-	leases map[catalog.ServiceID]leaseView
-	// upstreamsMark identifies the upstreams that the entry knew at its last
-	// report.
-	upstreamsMark wire.UpstreamsMark
-	// sentRevision is the revision of the upstreams that were last sent to the
-	// entry. upstreamsArriveAt is when they must have arrived and the entry must
-	// have reported that.
-	sentRevision      uint64
-	upstreamsArriveAt catalog.Instant
-	// preferred holds the services whose upstreams were sent before their turn in
-	// this incarnation of the entry.
-	preferred map[catalog.ServiceID]bool
-	// membersSentAt is when the entry was last sent the list of control VMs.
-	membersSentAt catalog.Instant
-	// demandsUnchanged and primariesMark are from the last report.
-	demandsUnchanged bool
-	primariesMark    uint64
-	// entriesMark identifies the entries of its site that the entry knew at its
-	// last report. entriesPushedAt is when the list was last sent to it outside
-	// of an answer to a report.
-	entriesMark     uint64
-	entriesPushedAt catalog.Instant
-	// sentFromVersion is the version that the entry had when settings were last
-	// sent to it. sentArrivesAt is when these settings must have arrived.
-	sentFromVersion catalog.Version
-	sentArrivesAt   catalog.Instant
-	// settingsTransfer is how long these settings take on the link of the entry,
-	// zero if there were none. settingsRepeats counts how often they were repeated.
-	settingsTransfer time.Duration
-	settingsRepeats  int
-	// work is the work for saturated primaries of the last report.
-	work []wire.ServiceWork
-	// demands holds the demands of the last report that included them.
-	demands []wire.Demand
-	// entryCount is the number of entries of all sites that the entry knew at
-	// its last report.
-	entryCount int
-	// entryCountSent is set once this leader has sent the entry that number.
-	entryCountSent bool
-}
-
-type leaseView struct {
-	epoch     catalog.Epoch
-	expiresAt catalog.Instant
-}
-
-// observation is what an entry observed of an upstream, with times converted to
-// this VM's clock.
-type observation struct {
-	evidence wire.Evidence
-	// gatheredAt is when the entry gathered the evidence.
-	gatheredAt catalog.Instant
-	// reportedAt is when the report with the evidence arrived.
-	reportedAt catalog.Instant
-	// aliveAt is when the upstream last responded to the entry, zero if it
-	// never did.
-	aliveAt catalog.Instant
-	// isIdle is set if that was so long before the report that the entry reports
-	// the upstream again once it answers.
-	isIdle   bool
-	role     catalog.Role
-	position catalog.Position
-}
-
-// upstreamView is the leader's view of one upstream.
-type upstreamView struct {
-	announcement catalog.Announcement
-	announcedAt  catalog.Instant
-	// revision is the leader's revision at the last change that must be sent to
-	// the entries.
-	revision uint64
-	// digest is the upstream's part of the digest of the list, zero while it is
-	// leaving.
-	digest uint64
-}
-
 func (c *Control) handleAnnouncement(a catalog.Announcement) {
 	if !c.isLeader {
 		return
@@ -413,58 +319,3 @@
 		c.push(vm, id)
 	}
 }
-
-func (c *Control) entryVMs() []catalog.VMID {
-	return slices.Sorted(maps.Keys(c.entries))
-}
-
-// forgetEntries removes entries that have not reported for forgetAfter and so
-// hold no lease or grant any more.
-func (c *Control) forgetEntries() {
-	for _, vm := range c.entryVMs() {
-		if v := c.entries[vm]; v.reportedAt.Add(forgetAfter).Before(c.now) {
-			c.forgetEntry(vm, v)
-		}
-	}
-}
-
-func (c *Control) forgetEntry(vm catalog.VMID, v *entryView) {
-	delete(c.entries, vm)
-	c.limits.allocator.Forget(vm)
-	c.subscribe(vm, v, nil)
-	for id := range v.leases {
-		c.leaseHolders.remove(id, vm)
-	}
-	for _, byEntry := range c.observations {
-		delete(byEntry, vm)
-	}
-	for _, byEntry := range c.allocations {
-		delete(byEntry, vm)
-	}
-}
-
-const (
-	forgetAfter = time.Minute
-	// membersInterval is the time between two lists of the control VMs sent to
-	// an entry. It is short compared to the lifetime of a control VM.
-	membersInterval = 2 * time.Second
-)
-
-// serviceVMs holds a set of entries for each service.
-type serviceVMs map[catalog.ServiceID]map[catalog.VMID]bool
-
-func (m serviceVMs) add(id catalog.ServiceID, vm catalog.VMID) {
-	if m[id] == nil {
-		m[id] = map[catalog.VMID]bool{}
-	}
-	m[id][vm] = true
-}
-
-func (m serviceVMs) remove(id catalog.ServiceID, vm catalog.VMID) {
-	delete(m[id], vm)
-}
-
-// vms returns the entries of a service, sorted.
-func (m serviceVMs) vms(id catalog.ServiceID) []catalog.VMID {
-	return slices.Sorted(maps.Keys(m[id]))
-}
