review: show that a first manifest of version 0 is lost

Version 0 counts as the version in force before any manifest, so the manifest is acknowledged and nothing is stored. Control answers reads with 503 and no entry serves.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -133,9 +133,28 @@
 	}
 }
 
-// start starts the servers with their heartbeats, the platform and the processes,
-// and waits until each entry serves by the manifest.
+// start starts everything and waits until each entry serves by the manifest.
 func (d *deployment) start(m manifest) error {
+	if err := d.startProcesses(); err != nil {
+		return err
+	}
+	if _, err := d.apply(m, 20*time.Second); err != nil {
+		return err
+	}
+	if err := d.awaitService(20 * time.Second); err != nil {
+		return err
+	}
+	for _, p := range d.processes {
+		if err := d.writeSettings(p, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startProcesses starts the servers with their heartbeats, the platform and the
+// processes.
+func (d *deployment) startProcesses() error {
 	d.cluster = newCluster()
 	c := d.cluster
 	if err := c.start(d); err != nil {
@@ -156,17 +175,6 @@
 		}
 		d.startProcess(p)
 	}
-	if _, err := d.apply(m, 20*time.Second); err != nil {
-		return err
-	}
-	if err := d.awaitService(20 * time.Second); err != nil {
-		return err
-	}
-	for _, p := range d.processes {
-		if err := d.writeSettings(p, false); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
