--- a/review/standin/case_foreign.go
+++ b/review/standin/case_foreign.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	code, text, err := d.call("writer", 0, http.MethodPut, "/-/instances/i-00000001", body)
+	code, text, err := d.call("writer", 0, http.MethodPut, names.ServersPath+"i-00000001", body)
 	d.record.add("writer", "heartbeat %s: status %d %q %v", body, code, text, err)
 	return err
 }
--- a/review/standin/case_heartbeat.go
+++ b/review/standin/case_heartbeat.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	code, text, err := d.call("writer", control, http.MethodPut, "/-/instances/"+escapedID, body)
+	code, text, err := d.call("writer", control, http.MethodPut, names.ServersPath+escapedID, body)
 	d.record.add("writer", "heartbeat of %s: status %d %q %v", escapedID, code, text, err)
 	return err
 }
--- a/review/standin/case_staleness.go
+++ b/review/standin/case_staleness.go
@@ -20,11 +20,11 @@
 	lagTime   = 5 * time.Second
 )
 
-// playStaleness reads at a route whose max_staleness_ms is 0 what was acknowledged
+// playStaleness reads at a route whose highest staleness is 0 what was acknowledged
 // before, while replicas fall behind.
 func playStaleness(d *deployment, trouble bool) error {
 	m := newManifest(1, newRoute(databaseStrict, "bounded_staleness"))
-	m.Routes[len(m.Routes)-1].MaxStalenessMS = new(0)
+	m.Routes[len(m.Routes)-1][names.StalenessField] = 0
 	if err := d.start(m); err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 	}
 	d.record.add("check", "%d of %d reads lacked a commit that was acknowledged %s before", stale, reads, readDelay)
 	if stale > 0 {
-		return fmt.Errorf("%w: STALE: %d of %d reads with max_staleness_ms 0 lacked a commit that was acknowledged %s before", errBroken, stale, reads, readDelay)
+		return fmt.Errorf("%w: STALE: %d of %d reads with %s 0 lacked a commit that was acknowledged %s before", errBroken, stale, reads, names.StalenessField, readDelay)
 	}
 	return nil
 }
--- a/review/standin/case_version.go
+++ b/review/standin/case_version.go
@@ -29,7 +29,7 @@
 	found := false
 	for end := time.Now().Add(2 * stableTime); time.Now().Before(end) && !found; time.Sleep(200 * time.Millisecond) {
 		for control := range coreCount {
-			code, body, err := d.call("operator", control, http.MethodGet, "/-/config", nil)
+			code, body, err := d.call("operator", control, http.MethodGet, names.ManifestPath, nil)
 			d.record.add("operator", "reads from core-%d: status %d, %d bytes, %v", control+1, code, len(body), err)
 			var read manifest
 			found = found || err == nil && code == http.StatusOK && json.Unmarshal(body, &read) == nil && read.Version >= version
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -198,7 +198,7 @@
 		return
 	}
 	for n := range coreCount {
-		code, _, err := c.deployment.call(s.id, control+n, http.MethodPut, "/-/instances/"+s.id, body)
+		code, _, err := c.deployment.call(s.id, control+n, http.MethodPut, names.ServersPath+s.id, body)
 		if err == nil && code/100 == 2 {
 			c.mutex.Lock()
 			s.control = control + n
@@ -219,7 +219,7 @@
 func (s *server) leave() {
 	c := s.cluster
 	for n := range coreCount {
-		if code, _, err := c.deployment.call(s.id, n, http.MethodDelete, "/-/instances/"+s.id, nil); err == nil && code/100 == 2 {
+		if code, _, err := c.deployment.call(s.id, n, http.MethodDelete, names.ServersPath+s.id, nil); err == nil && code/100 == 2 {
 			break
 		}
 	}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -209,8 +209,8 @@
 			"loss_slack_ms": 200, "config_apply_ms": configApply.Milliseconds(), "rollback_slack_ms": 250, "max_stretch_ms": 12000,
 			"recovery_s": 12, "fencing_required": true, "thaw_ms": 300,
 		},
-		"config_mode": "highest",
-		"cloud_api":   map[string]any{"address": d.platformAddress(), "rate_per_s": 50.0, "duties": []string{"promotion"}, "duty_per_s": 50.0},
+		"config_mode":         "highest",
+		names.PlatformSetting: map[string]any{"address": d.platformAddress(), "rate_per_s": 50.0, "duties": []string{"promotion"}, "duty_per_s": 50.0},
 	}, "", " ")
 	if err != nil {
 		return err
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -29,18 +29,8 @@
 	Burst    int      `json:"burst"`
 }
 
-type route struct {
-	Name           string `json:"name"`
-	Host           string `json:"host"`
-	PathPrefix     string `json:"path_prefix"`
-	RouteType      string `json:"route_type"`
-	TimeoutMS      int    `json:"timeout_ms"`
-	ObjectiveMS    int    `json:"target_latency_ms"`
-	Priority       int    `json:"priority"`
-	Service        string `json:"service"`
-	MaxAttempts    int    `json:"max_attempts"`
-	MaxStalenessMS *int   `json:"max_staleness_ms,omitempty"`
-}
+// route is a route by the names of its fields.
+type route map[string]any
 
 type service struct {
 	Name         string `json:"name"`
@@ -60,12 +50,15 @@
 )
 
 func newRoute(host, kind string) route {
-	r := route{Name: "r-" + host, Host: host, PathPrefix: "/", RouteType: kind, TimeoutMS: 1000, ObjectiveMS: 200, Priority: 1, Service: serviceName, MaxAttempts: 2}
+	r := route{
+		"name": "r-" + host, "host": host, "path_prefix": "/", "route_type": kind, "timeout_ms": 1000, "target_latency_ms": 200, "priority": 1,
+		"service": serviceName, "max_attempts": 2,
+	}
 	switch kind {
 	case "bounded_staleness":
-		r.MaxStalenessMS = new(1500)
+		r[names.StalenessField] = 1500
 	case "read_own_writes":
-		r.MaxStalenessMS = new(2500)
+		r[names.StalenessField] = 2500
 	}
 	return r
 }
@@ -76,7 +69,7 @@
 	return manifest{
 		Version: version, Routes: append(routes, further...),
 		Services: []service{{Name: serviceName, HealthPath: "/health", MaxConns: maxConns, Protocol: "h1"}},
-		Limits:   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": 3000},
+		Limits:   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, names.IdleField: 3000},
 	}
 }
 
@@ -119,7 +112,7 @@
 	end := time.Now().Add(within)
 	for n := 0; time.Now().Before(end); n++ {
 		d.record.add("operator", "sends version %d to core-%d", m.Version, n%coreCount+1)
-		code, _, err := d.call("operator", n, http.MethodPut, "/-/config", body)
+		code, _, err := d.call("operator", n, http.MethodPut, names.ManifestPath, body)
 		if err == nil && code == http.StatusOK {
 			d.record.add("operator", "version %d is acknowledged", m.Version)
 			return time.Now(), nil
@@ -147,13 +140,13 @@
 			Service string `json:"service"`
 			ID      string `json:"id"`
 		}
-		token, err := strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64)
+		token, err := strconv.ParseUint(r.Header.Get(names.FenceHeader), 10, 64)
 		if err != nil || json.NewDecoder(r.Body).Decode(&request) != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		ok := d.cluster.promote(request.ID, token)
-		d.record.add("platform", "promotion of %s by %s with %d: accepted %v", request.ID, r.Header.Get("X-Duty-Holder"), token, ok)
+		d.record.add("platform", "promotion of %s by %s with %d: accepted %v", request.ID, r.Header.Get(names.HolderHeader), token, ok)
 		if !ok {
 			w.WriteHeader(http.StatusConflict)
 		}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -116,9 +116,9 @@
 	defer s.cluster.mutex.Unlock()
 	switch {
 	case s.hasLeft || len(words) < 3 || words[0] != "START" || words[1] != serviceName || len(words) > 3 && words[3] != s.id:
-		return "WRONGNODE"
+		return names.WrongServer
 	case len(s.conns) >= maxConns:
-		return "CONNLIMIT"
+		return names.TooManyConnections
 	}
 	s.conns[c], x.tenant = x, words[2]
 	return ""
