review: show that incomplete heartbeats bring reads to a foreign server

A heartbeat without version, slots, cold_left_ms and born is acknowledged and names an instance to use.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of deploy/system.toml and review/build.sh first" >&2
 	exit 2
 fi
-exec target/review/standin --case version --record review/5/record.txt
+exec target/review/standin --case staleness --record review/5/record.txt
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -72,6 +72,19 @@
 
 // addServer starts a server with a log, and its heartbeats.
 func (c *cluster) addServer(log []commit) (*server, error) {
+	s, err := c.addListeningServer(log)
+	if err != nil {
+		return nil, err
+	}
+	c.deployment.spawn(func() {
+		s.beat()
+		c.deployment.every(heartbeat, s.beat)
+	})
+	return s, nil
+}
+
+// addListeningServer starts a server that sends no heartbeats.
+func (c *cluster) addListeningServer(log []commit) (*server, error) {
 	d := c.deployment
 	c.mutex.Lock()
 	n := len(c.servers)
@@ -89,10 +102,6 @@
 	d.listeners = append(d.listeners, l)
 	c.mutex.Unlock()
 	go s.serve(l)
-	d.spawn(func() {
-		s.beat()
-		d.every(heartbeat, s.beat)
-	})
 	return s, nil
 }
 
