platform: refuse names that are no words of a message

Cause: service, id and organisation became words of the first message to an upstream unchecked. The name held a line end and a QUERY. Control also connected to the address of any announcement, and a follower relayed it unchecked.

Dial with such a name sends the statement to a plain listener (TestFirstMessageHoldsNoOtherMessage).

Change: catalog.CheckName says what a name may be. Control queries an upstream only once its service is configured. Refusals have a status 400 with the value, a count, and one log line a second.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
 
 // AckMode determines when a write may be acknowledged.
 type AckMode string
@@ -79,6 +83,32 @@
 	Slots int `cbor:"10,keyasint,omitempty" json:"slots,omitempty"`
 }
 
+// Check returns a NotValid error if the announcement has a value that can't be
+// used. Announcements come from outside, from processes of other builds and from
+// the log. The address may be of any form here.
+func (a Announcement) Check() error {
+	for _, v := range []struct{ kind, text string }{{"service", string(a.Service)}, {"instance", string(a.Instance)}} {
+		if err := CheckName(v.kind, v.text); err != nil {
+			return err
+		}
+	}
+	for _, v := range []struct{ kind, text string }{{"address", a.Address}, {"site", string(a.Site)}} {
+		if v.text == "" {
+			continue
+		}
+		if err := CheckText(v.kind, v.text); err != nil {
+			return err
+		}
+	}
+	if a.Role > RoleReplica {
+		return errors.NotValidf("role %d", a.Role)
+	}
+	if a.Slots < 0 {
+		return errors.NotValidf("%d slots", a.Slots)
+	}
+	return nil
+}
+
 // Newer reports whether a is newer than b. Both must come from the same
 // upstream.
 func (a Announcement) Newer(b Announcement) bool {
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -87,30 +87,18 @@
 	if !decodeJSON(w, r, "announcement", &announcement) {
 		return
 	}
-	if text := checkAnnouncement(announcement); text != "" {
-		http.Error(w, "announcement: "+text, http.StatusBadRequest)
+	err := announcement.Check()
+	if err == nil {
+		err = catalog.CheckAddress(announcement.Address)
+	}
+	if err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	a.feed(node.AnnouncementReceived{Announcement: announcement})
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// checkAnnouncement returns the first problem of an announcement, or an empty
-// string if the announcement is valid.
-func checkAnnouncement(a catalog.Announcement) string {
-	switch {
-	case a.Service == "":
-		return "service is missing"
-	case a.Instance == "":
-		return "instance is missing"
-	case !isAddrPort(a.Address):
-		return "address must be an IP and a port"
-	case a.Role > catalog.RoleReplica:
-		return "role is unknown"
-	}
-	return ""
-}
-
 func (a *admin) command(w http.ResponseWriter, r *http.Request) {
 	var c node.Command
 	if !decodeJSON(w, r, "command", &c) {
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -83,8 +82,3 @@
 	defer func() { _ = a.Body.Close() }()
 	return r, errors.Trace(json.NewDecoder(a.Body).Decode(&r))
 }
-
-func isAddrPort(s string) bool {
-	_, err := netip.ParseAddrPort(s)
-	return err == nil
-}
--- a/node/control.go
+++ b/node/control.go
@@ -131,6 +131,7 @@
 	// nextPushAt is when a later one may be pushed.
 	pushedRevision uint64
 	nextPushAt     catalog.Instant
+	refusals       refusals
 	// unreachableSince holds since when a member has not responded.
 	unreachableSince map[catalog.VMID]catalog.Instant
 	replacement      *replacement
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/quorum"
 	"github.com/kingcupknot/kingcupknot/registry"
 )
@@ -8,6 +9,14 @@
 // handleCommand executes an operator's command. A VM that is not the leader, or
 // has no contact to a quorum, answers with the leader's name if it is known.
 func (c *Control) handleCommand(o CommandReceived) {
+	if o.Command.Announce != nil {
+		a := o.Command.Announce.Announcement
+		if err := a.Check(); err != nil {
+			c.effects = append(c.effects, c.refusals.refuse(c.now, a, err)...)
+			c.reply(o.Number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: "announcement: " + err.Error()})
+			return
+		}
+	}
 	if !c.isLeader && o.Command.Announce != nil && c.relayAnnouncement(o.Command.Announce.Announcement) {
 		c.reply(o.Number, Reply{Code: ReplyOK, Version: c.state.Version})
 		return
@@ -84,6 +93,12 @@
 		c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: "The command is empty."})
 		return
 	}
+	for _, s := range newServices(cmd) {
+		if err := catalog.CheckText("service", string(s.ID)); err != nil {
+			c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: err.Error()})
+			return
+		}
+	}
 	if cmd.Change == "" {
 		c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: "A changing command needs a change id."})
 		return
@@ -96,6 +111,19 @@
 	}
 }
 
+// newServices returns the services that a command adds or changes. Their ids are
+// checked here and not by the registry, whose decisions on records in the log must be
+// those of earlier builds.
+func newServices(cmd Command) []catalog.Service {
+	switch {
+	case cmd.Apply != nil:
+		return cmd.Apply.Services
+	case cmd.Create != nil:
+		return []catalog.Service{cmd.Create.Service}
+	}
+	return nil
+}
+
 func (c *Control) switchPrimary(number uint64, cmd SwitchPrimary) {
 	s, ok := c.state.Service(cmd.Service)
 	p := c.state.Primary(cmd.Service)
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -13,7 +13,15 @@
 	if !c.isLeader {
 		return
 	}
+	if err := a.Check(); err != nil {
+		c.effects = append(c.effects, c.refusals.refuse(c.now, a, err)...)
+		return
+	}
 	u := c.upstreams[a.Instance]
+	if u != nil && a.Service != u.announcement.Service && !c.isConfigured(u.announcement.Service) && c.isConfigured(a.Service) {
+		c.forgetUpstream(u)
+		u = nil
+	}
 	if u == nil {
 		c.trackUpstream(a)
 		return
@@ -50,10 +58,30 @@
 	sort.Slice(group, func(i, j int) bool { return group[i].announcement.Instance < group[j].announcement.Instance })
 	c.upstreamsByService[a.Service] = group
 	c.markSuspect(a.Service)
-	c.keepConnectionOpen(u)
+	// Anyone may announce an upstream of a service that does not exist.
+	// keepConnectionsOpen queries the upstream once its service is configured.
+	if c.isConfigured(a.Service) {
+		c.keepConnectionOpen(u)
+	}
 	c.proposeEnrollment(a)
 }
 
+func (c *Control) isConfigured(id catalog.ServiceID) bool {
+	_, ok := c.state.Service(id)
+	return ok
+}
+
+// forgetUpstream removes an upstream of a service that is not configured, whose id
+// an upstream of a configured service has.
+func (c *Control) forgetUpstream(u *upstreamView) {
+	a := u.announcement
+	delete(c.upstreams, a.Instance)
+	c.upstreamsByService[a.Service] = slices.DeleteFunc(c.upstreamsByService[a.Service], func(x *upstreamView) bool { return x == u })
+	// Its changes are outdated.
+	u.revision = 0
+	c.listDigest -= u.digest
+}
+
 // subscribe records which services an entry serves.
 func (c *Control) subscribe(vm catalog.VMID, v *entryView, services []catalog.ServiceID) {
 	if slices.Equal(v.services, services) {
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -159,6 +159,11 @@
 		return
 	}
 	for _, a := range c.state.Upstreams {
+		// A leader of an earlier build may have recorded it.
+		if err := a.Check(); err != nil {
+			c.effects = append(c.effects, c.refusals.refuse(c.now, a, err)...)
+			continue
+		}
 		u := &upstreamView{announcement: a}
 		c.upstreams[a.Instance] = u
 		c.upstreamsByService[a.Service] = append(c.upstreamsByService[a.Service], u)
--- a/node/entry.go
+++ b/node/entry.go
@@ -84,6 +84,7 @@
 	// upstreamsMark identifies the newest list of upstreams received from
 	// control.
 	upstreamsMark wire.UpstreamsMark
+	refusals      refusals
 	// seeds are the control VMs listed in this VM's own settings.
 	seeds []catalog.VMID
 	// ready is the readiness last reported to the shell, unreadySince is when
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -11,6 +11,12 @@
 // announcement that came from the upstream itself is relayed to the other
 // entries; a relayed one is not relayed again, which avoids loops.
 func (e *Entry) handleAnnouncement(a catalog.Announcement, direct bool) {
+	if err := a.Check(); err != nil {
+		for _, x := range e.refusals.refuse(e.now, a, err) {
+			e.emit(x)
+		}
+		return
+	}
 	s := e.service(a.Service)
 	i := s.instance(a.Instance)
 	isNew := i == nil
--- a/settings/services.go
+++ b/settings/services.go
@@ -17,6 +17,11 @@
 func (s *Settings) readService(t *tableReader) catalog.Service {
 	v := catalog.Service{Ack: catalog.AckPrimary, Instances: 1}
 	readRequired(t, "id", &v.ID)
+	if v.ID != "" {
+		if err := catalog.CheckText("id", string(v.ID)); err != nil {
+			t.addFinding("id", "%s", err.Error())
+		}
+	}
 	readString(t, "ack", &v.Ack)
 	t.readInteger("instances", 1, &v.Instances)
 	t.readInteger("connections", 1, &v.Limits.Connections)
