link: let one unreadable value hide nothing else

Cause: the id made the whole list of upstreams unreadable, the receiver ended the connection, the list stayed unconfirmed, and the leader sent the id again with every list. The record was skipped by all members.

A frame that can't be decoded is skipped, counted and logged once a second, and the connection stays. A change that members could not decode, or over the limit of a record, is refused with 400; operators sent it for ever. Forwarded statements and answers between entries: the same cause, and an answer over 4 MiB ended the channel of all callers.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -39,6 +40,8 @@
 	log     logr.Logger
 	metrics *telemetry.Metrics
 	tracing *telemetry.Tracer
+	// peerFailures bounds the log lines about peers.
+	peerFailures telemetry.LineLimit
 	process
 }
 
@@ -106,7 +109,9 @@
 		},
 		OnError: func(err error) {
 			s.metrics.Count("frames-refused", 1)
-			telemetry.LogLine(s.log, true, "link", "Communication with a peer failed.", []string{"cause", err.Error()})
+			if failures, ok := s.peerFailures.Allow(time.Now()); ok {
+				telemetry.LogLine(s.log, true, "link", "Communication with a peer failed.", []string{"cause", err.Error(), "failures", strconv.Itoa(failures)})
+			}
 		},
 	})
 	mux := http.NewServeMux()
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -33,6 +33,8 @@
 	lines    *telemetry.LineWriter
 	log      logr.Logger
 	metrics  *telemetry.Metrics
+	// peerFailures bounds the log lines about peers.
+	peerFailures telemetry.LineLimit
 	process
 }
 
@@ -107,7 +109,9 @@
 		},
 		OnError: func(err error) {
 			h.metrics.Count("frames-refused", 1)
-			h.log.Info("Communication with a peer failed.", "part", "link", "cause", err.Error())
+			if failures, ok := h.peerFailures.Allow(time.Now()); ok {
+				h.log.Info("Communication with a peer failed.", "part", "link", "cause", err.Error(), "failures", failures)
+			}
 		},
 	})
 }
--- a/daemon/hosted_entry.go
+++ b/daemon/hosted_entry.go
@@ -141,8 +141,17 @@
 		callers.ServeForwarded(q.From, func() (session.ForwardedRequest, error) {
 			var f session.ForwardedRequest
 			err := q.Receive(&f)
+			if errors.Is(err, link.ErrUnreadable) {
+				err = errors.WithType(err, session.ErrUnreadable)
+			}
 			return f, err
-		}, func(r session.ForwardReply) error { return q.Reply(r) })
+		}, func(r session.ForwardReply) error {
+			err := q.Reply(r)
+			if errors.Is(err, link.ErrTooLarge) {
+				err = errors.WithType(err, session.ErrTooLarge)
+			}
+			return err
+		})
 	}
 }
 
--- a/link/accept.go
+++ b/link/accept.go
@@ -49,9 +49,7 @@
 	if r.URL.Query().Has(returnQuery) {
 		defer h.addReturnPath(from, s)()
 	}
-	if err := h.receive(s, from); err != nil {
-		h.options.OnError(errors.Annotatef(err, "peer %s", from))
-	}
+	h.receive(s, from)
 }
 
 // acceptHandshake authenticates the peer on an accepted connection and returns
@@ -86,22 +84,24 @@
 	return m.VM, errors.Trace(writeFrame(ctx, s, welcome{Proof: proof}))
 }
 
-func (h *Hub) receive(s *websocket.Conn, from catalog.VMID) error {
+// receive passes on the messages of a peer until the connection ends. It skips
+// messages that can't be decoded: the peer would send the same again on the next
+// connection, and messages behind it would be lost each time.
+func (h *Hub) receive(s *websocket.Conn, from catalog.VMID) {
 	for {
 		_, data, err := s.Read(h.context)
 		if err != nil {
-			// The connection has ended, which is not an error of the peer.
-			return nil //nolint:nilerr // see above
+			return
 		}
 		m, err := Decode(data)
-		if errors.Is(err, ErrUnknownKind) {
+		switch {
+		case errors.Is(err, ErrUnknownKind):
 			// A newer build sent it.
-			continue
-		}
-		if err != nil {
-			return err
+		case err != nil:
+			h.options.OnError(errors.Annotatef(err, "peer %s", from))
+		default:
+			h.options.Receive(from, m)
 		}
-		h.options.Receive(from, m)
 	}
 }
 
--- a/link/channel.go
+++ b/link/channel.go
@@ -25,6 +25,11 @@
 	// ErrNoReply reports that no valid reply arrived after a request was sent.
 	// The peer may have handled the request.
 	ErrNoReply = errors.ConstError("no reply from the peer")
+	// ErrUnreadable reports that a request has arrived but could not be decoded.
+	ErrUnreadable = errors.ConstError("request could not be decoded")
+	// ErrTooLarge reports that a request or a reply exceeds the size limit of a
+	// frame. It was not sent.
+	ErrTooLarge = errors.ConstError("over the size limit of a frame")
 )
 
 const (
@@ -59,6 +64,11 @@
 // peer. Each stream has at most one request in flight.
 type Channel struct {
 	socket *websocket.Conn
+	peer   catalog.VMID
+	// features are those of the peer's build.
+	features wire.Features
+	// onError is called for frames that can't be decoded.
+	onError func(error)
 	// closed is closed when the channel ends.
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -73,8 +83,11 @@
 	streams    map[uint64]chan cbor.RawMessage
 }
 
-func newChannel(s *websocket.Conn) *Channel {
-	c := &Channel{socket: s, closed: make(chan struct{}), streams: map[uint64]chan cbor.RawMessage{}}
+func (h *Hub) newChannel(s *websocket.Conn, peer catalog.VMID) *Channel {
+	c := &Channel{
+		socket: s, peer: peer, features: h.featuresOf(peer), onError: h.options.OnError,
+		closed: make(chan struct{}), streams: map[uint64]chan cbor.RawMessage{},
+	}
 	c.markReceived()
 	return c
 }
@@ -105,7 +118,8 @@
 	}
 }
 
-// receive calls handle for each frame until the channel ends.
+// receive calls handle for each frame until the channel ends. It skips frames that
+// can't be decoded, since other callers' requests are on the channel too.
 func (c *Channel) receive(ctx context.Context, handle func(frame)) {
 	defer c.Close()
 	for {
@@ -114,19 +128,24 @@
 			return
 		}
 		var f frame
+		c.markReceived()
 		if err := decoder.Unmarshal(data, &f); err != nil {
-			return
+			c.onError(errors.Annotatef(err, "channel of peer %s", c.peer))
+			continue
 		}
-		c.markReceived()
 		handle(f)
 	}
 }
 
+// send returns ErrTooLarge for a frame at which the peer would end the channel.
 func (c *Channel) send(f frame) error {
 	data, err := cbor.Marshal(f)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if len(data) > wire.MaxFrameBytes {
+		return errors.Trace(ErrTooLarge)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	return errors.Trace(c.socket.Write(ctx, websocket.MessageBinary, data))
@@ -189,13 +208,19 @@
 // closed.
 func (t *Stream) Call(request, reply any, deadline time.Time) error {
 	body, err := cbor.Marshal(request)
+	if err == nil {
+		err = t.channel.checkText(body)
+	}
 	if err != nil {
 		return errors.WithType(err, ErrNotSent)
 	}
 	if t.channel.isClosed() {
 		return errors.Trace(ErrNotSent)
 	}
-	if err := t.channel.send(frame{Stream: t.number, Body: body}); err != nil {
+	switch err := t.channel.send(frame{Stream: t.number, Body: body}); {
+	case errors.Is(err, ErrTooLarge):
+		return errors.WithType(err, ErrNotSent)
+	case err != nil:
 		t.channel.Close()
 		return errors.WithType(err, ErrNoReply)
 	}
@@ -219,6 +244,15 @@
 	}
 }
 
+// checkText returns an error for a body with text that the peer's build refuses.
+func (c *Channel) checkText(body []byte) error {
+	if c.features.Has(wire.FeatureAnyText) {
+		return nil
+	}
+	var ignored any
+	return errors.Annotatef(strictDecoder.Unmarshal(body, &ignored), "text for peer %s", c.peer)
+}
+
 // Close closes the stream. Notify must be set unless the peer has ended the
 // stream already; it makes Close inform the peer.
 func (t *Stream) Close(notify bool) {
@@ -281,7 +315,7 @@
 		peer.lastFailure = time.Now()
 		return nil, err
 	}
-	peer.channel = newChannel(s)
+	peer.channel = p.hub.newChannel(s, to)
 	go peer.channel.receive(p.hub.context, peer.channel.deliverReply)
 	return peer.channel, nil
 }
@@ -291,9 +325,10 @@
 	// From is the peer that opened the stream.
 	From catalog.VMID
 	// Receive waits for a request and decodes it into the argument. It returns
-	// an error once the stream has ended.
+	// ErrUnreadable if that fails, and another error once the stream has ended.
 	Receive func(request any) error
-	// Reply answers the last request.
+	// Reply answers the last request. It returns ErrTooLarge for a reply that
+	// can't be sent.
 	Reply func(reply any) error
 }
 
@@ -306,7 +341,7 @@
 		if !ok {
 			return
 		}
-		c := newChannel(s)
+		c := h.newChannel(s, from)
 		c.receive(h.context, func(f frame) { c.deliverRequest(f, from, serve) })
 	})
 }
@@ -347,7 +382,12 @@
 				if !ok {
 					return errors.Trace(ErrNoReply)
 				}
-				return errors.Trace(decoder.Unmarshal(body, request))
+				if err := decoder.Unmarshal(body, request); err != nil {
+					err = errors.WithType(errors.Annotatef(err, "stream of peer %s", from), ErrUnreadable)
+					c.onError(err)
+					return err
+				}
+				return nil
 			case <-c.closed:
 				return errors.Trace(ErrNoReply)
 			}
--- a/link/channel_test.go
+++ b/link/channel_test.go
@@ -61,7 +61,7 @@
 func mustCall(t *testing.T, k *Stream, text, want string) {
 	t.Helper()
 	if got, err := call(k, text, time.Second); err != nil || got != want {
-		t.Fatalf("got %q, %v, expected %q", got, err, want)
+		t.Fatalf("got %.100q, %v, expected %.100q", got, err, want)
 	}
 }
 
--- a/link/frame.go
+++ b/link/frame.go
@@ -40,11 +40,18 @@
 }
 
 // decoder refuses duplicate keys and values that are too large or nested too deeply.
-// It ignores unknown fields, which newer builds may send.
-var decoder = mustDecoder()
+// It ignores unknown fields, which newer builds may send. It accepts text that is not
+// UTF-8: a statement may hold any bytes, and one value of a message that its receiver
+// can't use must not hide the others. strictDecoder is that of builds without
+// wire.FeatureAnyText, which accept UTF-8 only.
+var (
+	decoder       = mustDecoder(cbor.UTF8DecodeInvalid)
+	strictDecoder = mustDecoder(cbor.UTF8RejectInvalid)
+)
 
-func mustDecoder() cbor.DecMode {
+func mustDecoder(text cbor.UTF8Mode) cbor.DecMode {
 	m, err := cbor.DecOptions{
+		UTF8:             text,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
--- a/link/return_path.go
+++ b/link/return_path.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/coder/websocket"
-	"github.com/juju/errors"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
 )
@@ -84,9 +83,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := h.receive(s, from); err != nil {
-			h.options.OnError(errors.Annotatef(err, "peer %s", from))
-		}
+		h.receive(s, from)
 	}()
 	return done
 }
--- a/node/control_operator.go
+++ b/node/control_operator.go
@@ -103,12 +103,7 @@
 		c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: "A changing command needs a change id."})
 		return
 	}
-	if !c.propose(change, number) {
-		c.reply(number, Reply{
-			Code: ReplyNotLeader, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.ElectionTimeout,
-			Text: "This VM leads no more. Ask the leader.",
-		})
-	}
+	c.proposeForCommand(number, change)
 }
 
 // newServices returns the services that a command adds or changes. Their ids are
--- a/node/control_quorum.go
+++ b/node/control_quorum.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/kingcupknot/kingcupknot/quorum"
 	"github.com/kingcupknot/kingcupknot/registry"
 	"github.com/kingcupknot/kingcupknot/wire"
@@ -60,13 +63,22 @@
 // could propose it. If number is not zero, the operator's command of that
 // number is answered when the change is committed.
 func (c *Control) propose(change registry.Change, number uint64) bool {
+	return c.tryPropose(change, number) == nil
+}
+
+// tryPropose is propose with the reason of a failure: a NotValid error if the log
+// can't hold the change, another one if this VM can't propose now.
+func (c *Control) tryPropose(change registry.Change, number uint64) error {
 	data, err := registry.Encode(change)
 	if err != nil {
-		return false
+		return err
 	}
 	index, out, err := c.quorum.Propose(c.now, data)
+	if errors.Is(err, quorum.ErrTooLarge) {
+		return errors.NewNotValid(err, fmt.Sprintf("change of %d bytes, the limit is %d", len(data), quorum.MaxDataBytes))
+	}
 	if err != nil {
-		return false
+		return errors.Trace(err)
 	}
 	// A single member commits immediately, so the proposal must be registered
 	// before the output is applied.
@@ -74,7 +86,7 @@
 		c.proposals[index] = number
 	}
 	c.applyQuorumOutput(out)
-	return true
+	return nil
 }
 
 const (
@@ -125,9 +137,12 @@
 	}
 	change, err := registry.Decode(r.Data)
 	if err != nil {
-		// The log holds only records that a leader encoded, so the program or
-		// the disk is faulty. All members skip the record.
+		// A leader of another build proposed it. All members skip the record.
 		c.emit(Log{Level: LevelError, Part: "control", Text: "Skipped a record that can't be decoded.", Pairs: []string{"cause", err.Error()}})
+		if n, ok := c.proposals[r.Index]; ok {
+			delete(c.proposals, r.Index)
+			c.reply(n, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: "The change can't be decoded."})
+		}
 		return
 	}
 	before := c.state.Version
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/registry"
 	"github.com/kingcupknot/kingcupknot/wire"
@@ -24,9 +26,12 @@
 }
 
 // proposeForCommand proposes a change. The command is answered when the change
-// is committed, or immediately if this VM can't propose.
+// is committed, or immediately if the change is invalid or this VM can't propose.
 func (c *Control) proposeForCommand(number uint64, change registry.Change) {
-	if !c.propose(change, number) {
+	switch err := c.tryPropose(change, number); {
+	case errors.Is(err, errors.NotValid):
+		c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: err.Error()})
+	case err != nil:
 		c.reply(number, Reply{
 			Code: ReplyNotLeader, Leader: c.quorum.Leader(), RetryAfter: c.options.Timings.ElectionTimeout,
 			Text: "This VM leads no more. Ask the leader.",
--- a/registry/apply_test.go
+++ b/registry/apply_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/juju/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -64,3 +65,12 @@
 		}
 	})
 }
+
+// All members skip a record that they can't decode, so a change that ends as one must
+// be refused when it is encoded.
+func TestUndecodableChangeIsRefused(t *testing.T) {
+	Convey("text that is not UTF-8 is not encoded", t, func() {
+		_, err := Encode(Change{Register: &catalog.Announcement{Service: "a", Instance: "\xff\xfe"}})
+		So(errors.Is(err, errors.NotValid), ShouldBeTrue)
+	})
+}
--- a/registry/change.go
+++ b/registry/change.go
@@ -123,10 +123,18 @@
 	return m
 }
 
-// Encode encodes a change for the log.
+// Encode encodes a change for the log. It returns a NotValid error for a change that
+// Decode would refuse, such as one with text that is not UTF-8: all members would
+// skip the record.
 func Encode(c Change) ([]byte, error) {
 	data, err := encoder.Marshal(c)
-	return data, errors.Annotate(err, "encode change")
+	if err != nil {
+		return nil, errors.Annotate(err, "encode change")
+	}
+	if _, err := Decode(data); err != nil {
+		return nil, errors.NewNotValid(err, "encode change")
+	}
+	return data, nil
 }
 
 // Decode decodes a change from the log.
--- a/session/forward.go
+++ b/session/forward.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -84,8 +85,14 @@
 	HoldsTransaction bool `cbor:"10,keyasint,omitempty"`
 }
 
-// ErrNotSent reports that no part of a request was sent to the other entry.
-const ErrNotSent = errors.ConstError("the other entry is unreachable")
+const (
+	// ErrNotSent reports that no part of a request was sent to the other entry.
+	ErrNotSent = errors.ConstError("the other entry is unreachable")
+	// ErrUnreadable reports that a forwarded request could not be decoded.
+	ErrUnreadable = errors.ConstError("the forwarded request could not be decoded")
+	// ErrTooLarge reports that a reply is too large to be sent to the other entry.
+	ErrTooLarge = errors.ConstError("the reply is too large to be forwarded")
+)
 
 // PeerConn is a connection to another entry. It is used for one request or for
 // all requests of one transaction.
@@ -205,18 +212,26 @@
 // ServeForwarded runs a request that another entry forwards. If the request
 // leaves a transaction open, ServeForwarded also runs the requests that follow,
 // until the transaction has ended. If receive or reply fails, it rolls the
-// transaction back and returns.
+// transaction back and returns. Where the other entry can still be told, it is: it
+// would otherwise wait until its deadline.
 func (s *Server) ServeForwarded(from catalog.VMID, receive func() (ForwardedRequest, error), reply func(ForwardReply) error) {
 	c := &session{server: s, forwardedFrom: from}
 	defer c.dropTransaction()
 	for {
 		f, err := receive()
+		if errors.Is(err, ErrUnreadable) {
+			_ = reply(c.refuseUnreadable())
+		}
 		if err != nil {
 			return
 		}
 		s.activeForwards.Add(1)
 		r := c.runForwarded(f)
 		err = reply(r)
+		if errors.Is(err, ErrTooLarge) {
+			r = ForwardReply{Verdict: node.VerdictUnknown, Floor: r.Floor, Reason: ErrTooLarge.Error()}
+			err = reply(r)
+		}
 		s.activeForwards.Add(-1)
 		if err != nil || !r.HoldsTransaction {
 			return
@@ -224,6 +239,15 @@
 	}
 }
 
+// refuseUnreadable returns the reply to a request that could not be decoded, and so
+// has not run. A transaction that is open is rolled back.
+func (c *session) refuseUnreadable() ForwardReply {
+	if c.tx == nil {
+		return ForwardReply{Declined: true}
+	}
+	return ForwardReply{Verdict: node.VerdictNotRun, Reason: ErrUnreadable.Error()}
+}
+
 // runForwarded runs one forwarded request.
 func (c *session) runForwarded(f ForwardedRequest) ForwardReply {
 	if f.Kind == node.KindInTransaction {
@@ -250,7 +274,7 @@
 	}
 	r := ForwardReply{
 		Verdict: o.verdict, Body: o.reply.Body, Code: o.reply.Code, Position: o.reply.Position,
-		Floor: o.floor, Reason: o.reason, RetryAfter: o.retryAfter, DeadlineExceeded: o.deadlineExceeded,
+		Floor: o.floor, Reason: strings.ToValidUTF8(o.reason, "?"), RetryAfter: o.retryAfter, DeadlineExceeded: o.deadlineExceeded,
 		HoldsTransaction: c.tx != nil && c.tx.conn != 0,
 	}
 	if !r.HoldsTransaction {
--- a/wire/feature.go
+++ b/wire/feature.go
@@ -10,12 +10,16 @@
 // messages of a kind that it doesn't know. Builds without it end the connection.
 const FeatureUnknownFields Feature = "unknown-fields"
 
+// FeatureAnyText means that the peer reads messages whose text is not UTF-8. Builds
+// without it end the connection at such a message, or leave a request unanswered.
+const FeatureAnyText Feature = "any-text"
+
 // Features is a list of features, as sent on connecting.
 type Features []Feature
 
 // OwnFeatures returns the features of this build.
 func OwnFeatures() Features {
-	return Features{FeatureUnknownFields}
+	return Features{FeatureUnknownFields, FeatureAnyText}
 }
 
 // ParseFeatures reads a list that String has written. An empty text is that of a
