catalog: take a maximum age of zero as a bound

Cause: zero stood for "no bound" in configurations, the agreed state, forwarded requests and session settings, so any replica served.

Change: reads that accept no age run at the primary, the only upstream that holds every acknowledged commit.

--- a/catalog/route.go
+++ b/catalog/route.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -20,6 +21,16 @@
 	ReadsOwnWrites ReadPolicy = "own-writes"
 )
 
+// UnboundedAge is the MaxAge of a route whose reads accept data of any age. Builds
+// that take zero for no bound read it as an age that nothing reaches.
+const UnboundedAge = time.Duration(math.MaxInt64)
+
+// NeedsPrimary reports whether all reads of the route must run at the primary. Only
+// the primary holds all commits that may have been acknowledged before a read.
+func (r Route) NeedsPrimary() bool {
+	return r.Reads == ReadsPrimary || r.MaxAge <= 0
+}
+
 // RouteKey identifies a route within a configuration.
 type RouteKey struct {
 	// Database is the database name that callers send when they connect.
@@ -44,7 +55,8 @@
 	RouteKey
 	Service ServiceID  `cbor:"3,keyasint" json:"service"`
 	Reads   ReadPolicy `cbor:"4,keyasint" json:"reads"`
-	// MaxAge is the maximum age of data that reads accept. Zero means no bound.
+	// MaxAge is the maximum age of data that reads accept. With zero they accept none
+	// that lacks a commit. UnboundedAge is no bound.
 	MaxAge time.Duration `cbor:"5,keyasint" json:"max-age"`
 	// Timeout limits the duration of one statement. Invariant: greater than
 	// zero.
--- a/listener/caller_test.go
+++ b/listener/caller_test.go
@@ -213,11 +213,26 @@
 		So(err, ShouldBeNil)
 		So(lastArrival().Floor, ShouldResemble, carried.Position)
 		So(lastArrival().MaxAge, ShouldEqual, 500*time.Millisecond)
+		So(lastArrival().PrimaryOnly, ShouldBeFalse)
 		So(lastArrival().Class, ShouldEqual, node.ClassBrowse)
 		_, err = c.Exec(ctx, "SELECT 1", simple)
 		So(err, ShouldBeNil)
 		So(lastArrival().Class, ShouldEqual, node.ClassNormal)
 	})
+	// A maximum age of zero was taken for none, so that any replica served the read.
+	Convey("a maximum age of zero is a bound, and an empty one is none", t, func() {
+		c := connect(t, d, "")
+		for _, x := range []struct {
+			age         string
+			primaryOnly bool
+		}{{"0", true}, {"0s", true}, {"1ns", false}, {"0ms", true}, {"", false}} {
+			_, err := c.Exec(ctx, "SET kingcupknot.max_age = '"+x.age+"'", simple)
+			So(err, ShouldBeNil)
+			_, err = c.Exec(ctx, "SELECT 1", simple)
+			So(err, ShouldBeNil)
+			So(lastArrival().PrimaryOnly, ShouldEqual, x.primaryOnly)
+		}
+	})
 	Convey("a session with an id and without a token has an unknown floor", t, func() {
 		c := connect(t, d, "&options=-c%20kingcupknot.session%3Ds")
 		_, err := c.Exec(ctx, "SELECT 1", simple)
--- a/listener/request.go
+++ b/listener/request.go
@@ -155,6 +155,8 @@
 		Class:    r.settings.Class,
 		MaxAge:   r.settings.MaxAge,
 		Deadline: c.deadline(r),
+		// Only the primary holds data of no age.
+		PrimaryOnly: r.settings.HasMaxAge && r.settings.MaxAge == 0,
 	}
 	if c.transactionConn != nil {
 		e.HeldConn = c.transactionConn.ID
--- a/listener/session.go
+++ b/listener/session.go
@@ -21,8 +21,11 @@
 	Floor catalog.Position
 	// HasToken is set once the caller has sent a token. An empty token resets it.
 	HasToken bool
-	MaxAge   time.Duration
-	Class    node.Class
+	// MaxAge is the maximum age of data that reads accept, which may be zero. It
+	// holds if HasMaxAge is set.
+	MaxAge    time.Duration
+	HasMaxAge bool
+	Class     node.Class
 	// Deadline is the time from the arrival of a request to its deadline, zero if
 	// the caller set none.
 	Deadline    time.Duration
@@ -51,7 +54,11 @@
 	case "token":
 		return s.setToken(key, service, value)
 	case "max-age", "max_age":
-		return setDuration(&s.MaxAge, name, value)
+		f := setDuration(&s.MaxAge, name, value)
+		if f == nil {
+			s.HasMaxAge = value != ""
+		}
+		return f
 	case "deadline":
 		return setDuration(&s.Deadline, name, value)
 	case "class":
@@ -114,6 +121,9 @@
 	case "session":
 		return string(s.Session)
 	case "max-age", "max_age":
+		if !s.HasMaxAge {
+			return ""
+		}
 		return s.MaxAge.String()
 	case "deadline":
 		return s.Deadline.String()
--- a/node/event.go
+++ b/node/event.go
@@ -105,7 +105,8 @@
 	// floor is then the primary's position, queried after the request arrived.
 	FloorUnknown bool
 	// MaxAge, if not zero, is the maximum age of the data that the read
-	// accepts. Floor applies as well.
+	// accepts. Floor applies as well. A read that accepts no age at all has
+	// PrimaryOnly.
 	MaxAge time.Duration
 	// Objective is the latency objective of the caller's operation.
 	Objective time.Duration
--- a/node/request.go
+++ b/node/request.go
@@ -9,7 +9,7 @@
 func NewRequest(route catalog.Route, kind RequestKind, floor catalog.Position, now catalog.Instant) RequestArrived {
 	in := RequestArrived{
 		Service: route.Service, Database: route.Database, Kind: kind, Class: classOf(route),
-		PrimaryOnly: route.Reads == catalog.ReadsPrimary, MaxAge: route.MaxAge,
+		PrimaryOnly: route.NeedsPrimary(), MaxAge: route.MaxAge,
 		Deadline: now.Add(route.Timeout), Objective: route.Objective,
 	}
 	if route.Reads == catalog.ReadsOwnWrites {
--- a/session/forward.go
+++ b/session/forward.go
@@ -23,7 +23,8 @@
 	Service  catalog.ServiceID `cbor:"5,keyasint"`
 	Database string            `cbor:"6,keyasint"`
 	// PrimaryOnly, MaxAge, Objective and Priority are those of the route in
-	// force at the entry that the caller is connected to.
+	// force at the entry that the caller is connected to. Earlier builds take a
+	// MaxAge of zero for no bound, so PrimaryOnly is set with it.
 	PrimaryOnly bool  `cbor:"7,keyasint,omitempty"`
 	MaxAge      int64 `cbor:"8,keyasint,omitempty"`
 	Objective   int64 `cbor:"9,keyasint,omitempty"`
@@ -111,7 +112,7 @@
 	remaining := max(deadline.Sub(c.server.options.Now()), 0)
 	f := ForwardedRequest{
 		ID: st.ID, Verb: st.Verb, Kind: kind, Text: st.Text, Service: route.Service, Database: c.database, Organisation: c.organisation,
-		PrimaryOnly: route.Reads == catalog.ReadsPrimary, Priority: route.Priority, Values: c.values,
+		PrimaryOnly: route.NeedsPrimary() || route.MaxAge < time.Millisecond, Priority: route.Priority, Values: c.values,
 		MaxAge: route.MaxAge.Milliseconds(), Objective: route.Objective.Milliseconds(), Remaining: remaining.Milliseconds(),
 		WaitTime: (max(route.Timeout-remaining, 0) + c.waitTime).Milliseconds(),
 	}
