node: refuse a first configuration of version 0

It is refused with 400 and the reason while there is none in force; once there is, it is acknowledged as out of date, as before. To store it would need a mark of its own in the state and in each message.

The new case of TestChangesThatTheLogCannotHold fails without the check (an acknowledgement), and passes now.

--- a/node/control_unreadable_test.go
+++ b/node/control_unreadable_test.go
@@ -62,6 +62,14 @@
 		So(reply.Code, ShouldEqual, ReplyInvalid)
 		So(reply.Text, ShouldContainSubstring, "the limit is")
 	})
+	// It was acknowledged and lost, since version zero stands for no configuration.
+	Convey("a first configuration of version 0 is refused, a later one is out of date", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		So(w.runCommand(adoptCommand(0, time.Second)).Code, ShouldEqual, ReplyInvalid)
+		So(w.runCommand(adoptCommand(1, time.Second)).Code, ShouldEqual, ReplyOK)
+		So(w.runCommand(adoptCommand(0, time.Second)).Code, ShouldEqual, ReplyOK)
+		So(w.control.state.Version, ShouldEqual, catalog.Version(1))
+	})
 	Convey("a record that can't be decoded is skipped, its command answered, and later records apply", t, func() {
 		w := newSoloControl(quorum.PersistentState{})
 		w.runCommand(adoptCommand(1, time.Second))
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -14,6 +14,12 @@
 // adoptSettings proposes a configuration if its version is higher than the
 // version in force.
 func (c *Control) adoptSettings(number uint64, f catalog.Configuration) {
+	if f.Version == 0 && c.state.Version == 0 {
+		// Version zero stands for no configuration in the agreed state and in
+		// messages. An acknowledgement would be wrong, as nothing is stored.
+		c.reply(number, Reply{Code: ReplyInvalid, Text: "version 0: the version of a first configuration must be 1 or higher"})
+		return
+	}
 	if f.Version <= c.state.Version {
 		c.reply(number, Reply{Code: ReplyOK, Version: c.state.Version, Text: "A version as high is in force."})
 		return
