--- a/node/control_report.go
+++ b/node/control_report.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -49,39 +48,6 @@
 	}
 }
 
-func (c *Control) trackUpstream(a catalog.Announcement) {
-	a.Leaving = a.Leaving || c.state.IsRetired(a.Instance, a.Incarnation)
-	u := &upstreamView{announcement: a, announcedAt: c.now}
-	c.advanceRevision(u)
-	c.upstreams[a.Instance] = u
-	group := append(c.upstreamsByService[a.Service], u)
-	sort.Slice(group, func(i, j int) bool { return group[i].announcement.Instance < group[j].announcement.Instance })
-	c.upstreamsByService[a.Service] = group
-	c.markSuspect(a.Service)
-	// Anyone may announce an upstream of a service that does not exist.
-	// keepConnectionsOpen queries the upstream once its service is configured.
-	if c.isConfigured(a.Service) {
-		c.keepConnectionOpen(u)
-	}
-	c.proposeEnrollment(a)
-}
-
-func (c *Control) isConfigured(id catalog.ServiceID) bool {
-	_, ok := c.state.Service(id)
-	return ok
-}
-
-// forgetUpstream removes an upstream of a service that is not configured, whose id
-// an upstream of a configured service has.
-func (c *Control) forgetUpstream(u *upstreamView) {
-	a := u.announcement
-	delete(c.upstreams, a.Instance)
-	c.upstreamsByService[a.Service] = slices.DeleteFunc(c.upstreamsByService[a.Service], func(x *upstreamView) bool { return x == u })
-	// Its changes are outdated.
-	u.revision = 0
-	c.listDigest -= u.digest
-}
-
 // subscribe records which services an entry serves.
 func (c *Control) subscribe(vm catalog.VMID, v *entryView, services []catalog.ServiceID) {
 	if slices.Equal(v.services, services) {
