node: refuse announcements that name another service for an id

A heartbeat of another writer that names a service of its own, the id of an upstream in use and "draining" was acknowledged and retired that upstream: the announcement was skipped, but the retirement proposed.

TestAnnouncementOfAnotherServiceRetiresNothing fails without the check (an acknowledgement) and passes now.

--- a/node/control_foreign_test.go
+++ b/node/control_foreign_test.go
@@ -56,6 +56,20 @@
 	})
 }
 
+// An announcement that names another service made the upstream of that id leave.
+func TestAnnouncementOfAnotherServiceRetiresNothing(t *testing.T) {
+	Convey("an upstream stays when its id is announced as leaving for another service", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		w.runCommand(adoptCommand(1, time.Second))
+		w.runCommand(Command{Announce: &Announce{Announcement: testAnnouncement("a", catalog.RolePrimary, 1)}})
+		foreign := testAnnouncement("a", catalog.RoleReplica, 9)
+		foreign.Service, foreign.Leaving = "elsewhere", true
+		So(w.runCommand(Command{Announce: &Announce{Announcement: foreign}}).Code, ShouldEqual, ReplyInvalid)
+		So(w.control.state.Retired, ShouldBeEmpty)
+		So(w.control.upstreams["a"].announcement.Leaving, ShouldBeFalse)
+	})
+}
+
 // Control VMs of an earlier build relay and record announcements unchecked. A name
 // that is no word of a message must not get into the lists of upstreams.
 func TestUnusableAnnouncementsAreRefused(t *testing.T) {
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -50,6 +50,13 @@
 // committed, so that the next leader gives it no new work either.
 func (c *Control) handleAnnounceCommand(number uint64, a catalog.Announcement) {
 	c.handleAnnouncement(a)
+	if u := c.upstreams[a.Instance]; u != nil && u.announcement.Service != a.Service {
+		// Another writer must not make the upstream leave.
+		err := errors.NotValidf("service %q (instance %s belongs to %s)", a.Service, a.Instance, u.announcement.Service)
+		c.effects = append(c.effects, c.refusals.refuse(c.now, a, err)...)
+		c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: "announcement: " + err.Error()})
+		return
+	}
 	if a.Leaving && !c.state.IsRetired(a.Instance, a.Incarnation) {
 		c.proposeForCommand(number, registry.Change{Retire: &registry.RetireUpstream{Instance: a.Instance, Incarnation: a.Incarnation}})
 		return
