--- a/link/unreadable_test.go
+++ b/link/unreadable_test.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// A statement may hold any bytes. Where the other entry could not decode them, it sent
-// no reply, and a write that had not run was reported as in doubt at its deadline.
+// Statements hold any bytes. The other entry sent no reply to text that is not UTF-8,
+// so that a write that had not run was reported as in doubt.
 func TestStreamsCarryAnyText(t *testing.T) {
 	peers := map[catalog.VMID]string{}
 	startEchoPeer(t, "b", peers)
--- a/node/control_foreign_test.go
+++ b/node/control_foreign_test.go
@@ -70,8 +70,8 @@
 	})
 }
 
-// Control VMs of an earlier build relay and record announcements unchecked. A name
-// that is no word of a message must not get into the lists of upstreams.
+// Control VMs of an earlier build relay and record announcements unchecked. This one
+// must refuse those with unusable values, from a peer and from the log.
 func TestUnusableAnnouncementsAreRefused(t *testing.T) {
 	unusable := map[string]func(*catalog.Announcement){
 		"service with a statement": func(a *catalog.Announcement) { a.Service = "orders a\r\nQUERY 1 WRITE 1 x" },
--- a/node/control_track.go
+++ b/node/control_track.go
@@ -35,7 +35,7 @@
 	a := u.announcement
 	delete(c.upstreams, a.Instance)
 	c.upstreamsByService[a.Service] = slices.DeleteFunc(c.upstreamsByService[a.Service], func(x *upstreamView) bool { return x == u })
-	// Its changes are outdated.
+	// upstreamChange.isOutdated then holds for all earlier changes.
 	u.revision = 0
 	c.listDigest -= u.digest
 }
--- a/session/forward_unreadable_test.go
+++ b/session/forward_unreadable_test.go
@@ -10,8 +10,8 @@
 	"github.com/kingcupknot/kingcupknot/node"
 )
 
-// An entry that can't read a forwarded request, or whose reply can't be sent, said
-// nothing: the caller's entry waited until the deadline and reported a write in doubt.
+// A forwarded request that can't be decoded, or whose reply is too large, got no reply.
+// The caller's entry then reported a write in doubt at its deadline.
 func TestForwardsThatCannotBeExchanged(t *testing.T) {
 	serve := func(requests []ForwardedRequest, limit int, runs ...string) []ForwardReply {
 		g := newHarness(t)
