node: log who knows that an upstream leaves

The logs could not tell the hypotheses of the incident apart: an entry logged nothing when it learned that an upstream leaves, nor when it ignored that, and a new leader not what it restored. Entries log both, with the sequences; the leader logs the retirement of an upstream that is not in its list, the number of upstreams it restored, and when all entries that report have confirmed a leaving upstream.

--- a/node/control.go
+++ b/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -127,6 +128,9 @@
 	// revisionByDigest holds the revisions of earlier digests.
 	listDigest       uint64
 	revisionByDigest map[uint64]uint64
+	// leaving holds the upstreams that began to leave under this leader, until all
+	// entries that report have confirmed it.
+	leaving []leavingUpstream
 	// pushedRevision is the revision that was last pushed to the entries, and
 	// nextPushAt is when a later one may be pushed.
 	pushedRevision uint64
@@ -189,7 +193,7 @@
 	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.waitingEnrollments, c.immediateEnrollments = nil, 0
-	c.changes, c.listDigest, c.revisionByDigest = nil, 0, nil
+	c.changes, c.listDigest, c.revisionByDigest, c.leaving = nil, 0, nil, nil
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
 	c.replacement = nil
@@ -318,7 +322,7 @@
 	c.graceEndsAt = c.quorum.LeaderSince().Add(t.LeaseLength + t.MaxDrift)
 	c.nextSweepAt = c.now
 	c.restoreUpstreams()
-	c.log("control", "Leads now.")
+	c.log("control", "Leads now.", "upstreams", strconv.Itoa(len(c.upstreams)), "retired", strconv.Itoa(len(c.state.Retired)))
 }
 
 // pendingCommands returns the numbers of the unanswered operators' commands.
@@ -354,6 +358,7 @@
 	c.updateSites()
 	c.updateSiteShares()
 	c.pushChangedUpstreams()
+	c.reportLeaving()
 	c.checkSuspects()
 	c.followPrimaries()
 	c.keepConnectionsOpen()
--- /dev/null
+++ b/node/control_leaving.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+)
+
+// leavingUpstream is an upstream that is leaving and that not all entries are
+// known to have been told of.
+type leavingUpstream struct {
+	upstream *upstreamView
+	// revision is that of the upstream when it began to leave.
+	revision uint64
+	since    catalog.Instant
+}
+
+// trackLeaving records that entries must learn that an upstream leaves.
+func (c *Control) trackLeaving(u *upstreamView) {
+	if !c.options.DistributesUpstreams {
+		return
+	}
+	c.leaving = append(c.leaving, leavingUpstream{upstream: u, revision: u.revision, since: c.now})
+}
+
+// reportLeaving logs for each upstream that leaves when all entries that report
+// have confirmed it.
+func (c *Control) reportLeaving() {
+	if len(c.leaving) == 0 {
+		return
+	}
+	confirmed, entries := ^uint64(0), 0
+	for _, v := range c.entries {
+		if c.hasRecentReport(v) {
+			confirmed, entries = min(confirmed, c.confirmedRevision(v)), entries+1
+		}
+	}
+	if entries == 0 {
+		return
+	}
+	c.leaving = slices.DeleteFunc(c.leaving, func(l leavingUpstream) bool {
+		if l.revision > confirmed {
+			return false
+		}
+		c.log("control", "The entries know that an upstream is leaving.", "instance", string(l.upstream.announcement.Instance),
+			"entries", strconv.Itoa(entries), "after", c.now.Sub(l.since).String())
+		return true
+	})
+}
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -95,14 +95,18 @@
 func (c *Control) handleRetired(r registry.RetireUpstream) {
 	u := c.upstreams[r.Instance]
 	if u == nil || u.announcement.Incarnation > r.Incarnation {
+		c.log("control", "Retired an upstream that is not in the list.", "instance", string(r.Instance),
+			"life", strconv.FormatUint(r.Incarnation, 10))
 		return
 	}
 	if !u.announcement.Leaving {
 		u.announcement.Leaving = true
 		c.advanceRevision(u)
 	}
+	c.trackLeaving(u)
 	c.log("control", "An upstream is leaving.", "instance", string(r.Instance), "service", string(u.announcement.Service),
-		"life", strconv.FormatUint(r.Incarnation, 10))
+		"life", strconv.FormatUint(r.Incarnation, 10), "sequence", strconv.FormatUint(u.announcement.Sequence, 10),
+		"revision", strconv.FormatUint(u.revision, 10))
 	c.markSuspect(u.announcement.Service)
 }
 
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -31,6 +33,9 @@
 		}
 	}
 	if !isNew && !a.Newer(i.announcement) {
+		if a.Leaving && !i.isLeaving && a.Incarnation == i.announcement.Incarnation {
+			e.logLeaving("Ignored that an upstream is leaving.", i, a)
+		}
 		return
 	}
 	old := i.announcement
@@ -40,6 +45,7 @@
 		e.resetInstance(i)
 	}
 	if a.Leaving && !i.isLeaving {
+		e.logLeaving("An upstream is leaving.", i, a)
 		i.isLeaving = true
 		e.retireConns(i)
 	}
@@ -51,6 +57,14 @@
 	}
 }
 
+func (e *Entry) logLeaving(text string, i *entryInstance, a catalog.Announcement) {
+	e.emit(Log{Part: "entry", Text: text, Pairs: []string{
+		"instance", string(i.id), "service", string(a.Service), "life", strconv.FormatUint(a.Incarnation, 10),
+		"sequence", strconv.FormatUint(a.Sequence, 10), "known-sequence", strconv.FormatUint(i.announcement.Sequence, 10),
+		"leader", string(e.report.leader), "connections", strconv.Itoa(len(i.conns)),
+	}})
+}
+
 // queueAnnouncement includes an announcement in the reports to control until
 // control has acknowledged it.
 func (e *Entry) queueAnnouncement(i *entryInstance, a catalog.Announcement) {
