--- a/node/export_test.go
+++ b/node/export_test.go
@@ -20,3 +20,17 @@
 func (e *Entry) DisableLeaseCheck() {
 	e.leaseValid = func(*entryService, catalog.Epoch, catalog.Instant) bool { return true }
 }
+
+// GivesWork reports whether the entry may start new work at an incarnation of an
+// upstream.
+func (e *Entry) GivesWork(id catalog.InstanceID, incarnation uint64) bool {
+	for _, s := range e.services {
+		if i := s.instance(id); i != nil && i.announcement.Incarnation == incarnation && !i.isLeaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Leads reports whether the control VM leads.
+func (c *Control) Leads() bool { return c.isLeader }
--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -96,7 +96,9 @@
 			pullInterval: time.Duration(3+w.rng.IntN(40)) * ms, applyLag: time.Duration(w.rng.IntN(60)) * ms,
 		}
 		w.group[id] = u
-		w.announce(u)
+		if !w.isListed {
+			w.announce(u)
+		}
 		w.replicate(u)
 	}
 	w.group["a"].role, w.group["a"].following = catalog.RolePrimary, ""
--- a/node/system_simulation_test.go
+++ b/node/system_simulation_test.go
@@ -36,6 +36,11 @@
 		// other entries.
 		draining    bool
 		frozenUntil catalog.Instant
+		// entry or control is the reducer.
+		entry   *node.Entry
+		control *node.Control
+		// calmSince is when the last fault of the process or of its links ended.
+		calmSince catalog.Instant
 		// drift is the relative error of the process's clock; positive means
 		// fast.
 		drift float64
@@ -61,6 +66,8 @@
 		loss   float64
 		ack    catalog.AckMode
 		limits catalog.Limits
+		// isListed is set if upstreams announce themselves to control alone.
+		isListed bool
 		// timings are those of all VMs.
 		timings  catalog.Timings
 		onAnswer func(*process, node.AnswerRequest)
@@ -160,6 +167,7 @@
 		c, err := node.NewControl(node.ControlOptions{
 			VM: p.vm, Timings: w.timings, Members: w.names('k'), Entries: entries,
 			Services: []catalog.Service{service}, Saved: p.saved, SnapshotAfter: 20, Seed: w.rng.Uint64(),
+			DistributesUpstreams: w.isListed,
 		}, w.localTime(p))
 		if err != nil {
 			panic(err)
@@ -167,17 +175,17 @@
 		if w.breakControl != nil {
 			w.breakControl(c)
 		}
-		p.step = c.Step
+		p.step, p.control = c.Step, c
 	} else {
 		peers := slices.DeleteFunc(w.names('e'), func(vm catalog.VMID) bool { return vm == p.vm })
 		e := node.NewEntry(node.EntryOptions{
 			VM: p.vm, Site: p.site, Incarnation: uint64(p.incarnation), Seed: w.rng.Uint64(), Timings: w.timings,
-			Control: w.names('k'), Peers: peers, QueueLimit: 100,
+			Control: w.names('k'), Peers: peers, QueueLimit: 100, UpstreamsFromControl: w.isListed,
 		})
 		if w.breakEntry != nil {
 			w.breakEntry(e)
 		}
-		p.step = e.Step
+		p.step, p.entry = e.Step, e
 	}
 	w.deliver(p, p.incarnation, ms, node.TimerFired{})
 }
