node: take that an upstream leaves whatever its sequence

Callers saw requests run at an upstream that had been acknowledged as gone. A retirement that control applies has no announcement of its own: the leader marked the one it had, with the old sequence, and entries dropped it as not newer. They confirmed the list all the same, so that it was never sent again.

Leaving is now a fact of an incarnation that is only ever set, at entries and at control, by any announcement of that incarnation. An earlier incarnation still can't make a later one leave.

--- a/node/control_leaving.go
+++ b/node/control_leaving.go
@@ -16,6 +16,18 @@
 	since    catalog.Instant
 }
 
+// markLeaving marks the known incarnation of an upstream as leaving. That holds
+// whatever the sequence of the announcement that said so.
+func (c *Control) markLeaving(u *upstreamView) {
+	if u.announcement.Leaving {
+		return
+	}
+	u.announcement.Leaving = true
+	c.advanceRevision(u)
+	c.markSuspect(u.announcement.Service)
+	c.trackLeaving(u)
+}
+
 // trackLeaving records that entries must learn that an upstream leaves.
 func (c *Control) trackLeaving(u *upstreamView) {
 	if !c.options.DistributesUpstreams {
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -25,11 +25,16 @@
 		c.trackUpstream(a)
 		return
 	}
-	if !a.Newer(u.announcement) {
+	if a.Service != u.announcement.Service {
+		if a.Newer(u.announcement) {
+			c.emit(Count{Name: "announcements-refused", Delta: 1})
+		}
 		return
 	}
-	if a.Service != u.announcement.Service {
-		c.emit(Count{Name: "announcements-refused", Delta: 1})
+	if !a.Newer(u.announcement) {
+		if a.Leaving && a.Incarnation == u.announcement.Incarnation {
+			c.markLeaving(u)
+		}
 		return
 	}
 	if u.announcement.Incarnation == a.Incarnation && u.announcement.Leaving || c.state.IsRetired(a.Instance, a.Incarnation) {
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -99,11 +99,7 @@
 			"life", strconv.FormatUint(r.Incarnation, 10))
 		return
 	}
-	if !u.announcement.Leaving {
-		u.announcement.Leaving = true
-		c.advanceRevision(u)
-	}
-	c.trackLeaving(u)
+	c.markLeaving(u)
 	c.log("control", "An upstream is leaving.", "instance", string(r.Instance), "service", string(u.announcement.Service),
 		"life", strconv.FormatUint(r.Incarnation, 10), "sequence", strconv.FormatUint(u.announcement.Sequence, 10),
 		"revision", strconv.FormatUint(u.revision, 10))
--- a/node/entry_instance.go
+++ b/node/entry_instance.go
@@ -33,8 +33,8 @@
 		}
 	}
 	if !isNew && !a.Newer(i.announcement) {
-		if a.Leaving && !i.isLeaving && a.Incarnation == i.announcement.Incarnation {
-			e.logLeaving("Ignored that an upstream is leaving.", i, a)
+		if a.Leaving && a.Incarnation == i.announcement.Incarnation {
+			e.markLeaving(i, a)
 		}
 		return
 	}
@@ -44,10 +44,8 @@
 	if isNew || a.Incarnation != old.Incarnation {
 		e.resetInstance(i)
 	}
-	if a.Leaving && !i.isLeaving {
-		e.logLeaving("An upstream is leaving.", i, a)
-		i.isLeaving = true
-		e.retireConns(i)
+	if a.Leaving {
+		e.markLeaving(i, a)
 	}
 	if !isNew && a.Address != old.Address {
 		e.retireConns(i)
@@ -57,12 +55,18 @@
 	}
 }
 
-func (e *Entry) logLeaving(text string, i *entryInstance, a catalog.Announcement) {
-	e.emit(Log{Part: "entry", Text: text, Pairs: []string{
+// markLeaving marks the known incarnation of an upstream as leaving. That holds
+// whatever the sequence of the announcement that said so.
+func (e *Entry) markLeaving(i *entryInstance, a catalog.Announcement) {
+	if i.isLeaving {
+		return
+	}
+	e.emit(Log{Part: "entry", Text: "An upstream is leaving.", Pairs: []string{
 		"instance", string(i.id), "service", string(a.Service), "life", strconv.FormatUint(a.Incarnation, 10),
-		"sequence", strconv.FormatUint(a.Sequence, 10), "known-sequence", strconv.FormatUint(i.announcement.Sequence, 10),
-		"leader", string(e.report.leader), "connections", strconv.Itoa(len(i.conns)),
+		"sequence", strconv.FormatUint(a.Sequence, 10), "leader", string(e.report.leader), "connections", strconv.Itoa(len(i.conns)),
 	}})
+	i.isLeaving = true
+	e.retireConns(i)
 }
 
 // queueAnnouncement includes an announcement in the reports to control until
--- a/node/system_listed_test.go
+++ b/node/system_listed_test.go
@@ -27,8 +27,8 @@
 )
 
 type (
-	// plannedFault is one fault of a leavePlan. It begins at a delay after the
-	// upstream first said that it leaves or got the acknowledgement.
+	// plannedFault is one fault of a leavePlan. It begins at a delay after the plan
+	// started, or the upstream first said that it leaves or got the acknowledgement.
 	plannedFault struct {
 		anchor      string
 		delay       time.Duration
@@ -43,7 +43,9 @@
 		upstream catalog.InstanceID
 		way      string
 		repeats  bool
-		faults   []plannedFault
+		// wait is the time from the start of the plan until it leaves.
+		wait   time.Duration
+		faults []plannedFault
 	}
 	// listedRun simulates upstreams that announce themselves to control, which
 	// distributes the list.
@@ -58,6 +60,7 @@
 )
 
 const (
+	anchorStart = "start"
 	anchorSaid  = "said"
 	anchorAcked = "acked"
 	// An upstream says that it is draining, or that it is gone.
@@ -86,6 +89,8 @@
 	u := w.group[plan.upstream]
 	r.incarnation = u.incarnation
 	w.run(time.Duration(w.rng.IntN(1000)) * ms)
+	r.begin(anchorStart)
+	w.run(plan.wait)
 	u.leaving = true
 	r.leave(u)
 	for end := w.now.Add(planTime + leaveBound + contactTime); w.now < end; {
@@ -232,7 +237,10 @@
 // randomPlan returns a plan that derives from the seed.
 func randomPlan(seed uint64) leavePlan {
 	w := newSimulation(seed+1<<32, catalog.AckPrimary, nil)
-	plan := leavePlan{upstream: w.ids()[w.rng.IntN(3)], way: wayDraining, repeats: w.rng.IntN(4) == 0}
+	plan := leavePlan{
+		upstream: w.ids()[w.rng.IntN(3)], way: wayDraining, repeats: w.rng.IntN(4) == 0,
+		wait: time.Duration(w.rng.IntN(1500)) * ms,
+	}
 	if w.rng.IntN(4) == 0 {
 		plan.way = wayGone
 	}
@@ -241,8 +249,11 @@
 			anchor: anchorAcked, delay: time.Duration(w.rng.IntN(30_000)) * time.Microsecond,
 			kind: faultKinds[w.rng.IntN(len(faultKinds))], lasts: time.Duration(100+w.rng.IntN(2000)) * ms,
 		}
-		if w.rng.IntN(3) == 0 {
+		switch w.rng.IntN(4) {
+		case 0:
 			f.anchor = anchorSaid
+		case 1:
+			f.anchor, f.delay = anchorStart, time.Duration(w.rng.IntN(int(plan.wait+1)))
 		}
 		if w.rng.IntN(4) == 0 {
 			f.delay = time.Duration(w.rng.IntN(int(planTime)))
@@ -252,8 +263,9 @@
 	return plan
 }
 
-// readPlan reads a plan of testdata/leaving. The first line holds the upstream and
-// how it leaves, each further line a fault: anchor, delay, kind, duration.
+// readPlan reads a plan of testdata/leaving. The first line holds the upstream, how
+// it leaves, "once" or "repeats", and how long it waits. Each further line holds a
+// fault: anchor, delay, kind, duration.
 func readPlan(t *testing.T, path string) leavePlan {
 	t.Helper()
 	file, err := os.Open(path)
@@ -262,23 +274,24 @@
 	}
 	defer file.Close()
 	var plan leavePlan
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		words := strings.Fields(lines.Text())
-		if len(words) == 0 || words[0] == "#" {
-			continue
-		}
-		if plan.upstream == "" {
-			plan.upstream, plan.way, plan.repeats = catalog.InstanceID(words[0]), words[1], len(words) > 2 && words[2] == "repeats"
-			continue
-		}
-		var delay, lasts time.Duration
-		if delay, err = time.ParseDuration(words[1]); err == nil {
-			lasts, err = time.ParseDuration(words[3])
-		}
+	duration := func(text string) time.Duration {
+		d, err := time.ParseDuration(text)
 		if err != nil {
 			t.Fatalf("%s: %v", path, err)
 		}
-		plan.faults = append(plan.faults, plannedFault{anchor: words[0], delay: delay, kind: words[2], lasts: lasts})
+		return d
+	}
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		words := strings.Fields(lines.Text())
+		switch {
+		case len(words) == 0 || words[0] == "#":
+		case len(words) != 4:
+			t.Fatalf("%s: %q has not four words", path, lines.Text())
+		case plan.upstream == "":
+			plan = leavePlan{upstream: catalog.InstanceID(words[0]), way: words[1], repeats: words[2] == "repeats", wait: duration(words[3])}
+		default:
+			plan.faults = append(plan.faults, plannedFault{anchor: words[0], delay: duration(words[1]), kind: words[2], lasts: duration(words[3])})
+		}
 	}
 	return plan
 }
