node: count leaving upstreams in the digest of the list

An upstream that repeats its draining to a new leader was still used: the leader took note and sent it to no entry. The digest by which a leader recognises the list that an entry has left out upstreams that leave, so that a list without the upstream and a list with it leaving had the same digest, and the leader counted every entry as up to date.

All upstreams count now, with whether they leave. Upstreams that were leaving from the first announcement on are tracked until the entries know it.

TestListBeforeAnUpstreamIsNotTheListAfterIt fails before.

--- a/node/control_list_digest.go
+++ b/node/control_list_digest.go
@@ -43,14 +43,11 @@
 
 // updateListDigest updates the digest of the list after a change of an upstream. It
 // is the sum of the hashes of all upstreams, so that it does not depend on their
-// order. Upstreams that are leaving don't count: the agreed state, from which the
-// next leader starts, does not hold them.
+// order. Upstreams that are leaving count too: without them, the list after an
+// upstream has left would be taken for the list before the upstream came.
 func (c *Control) updateListDigest(u *upstreamView) {
 	c.listDigest -= u.digest
-	u.digest = 0
-	if !u.announcement.Leaving {
-		u.digest = hashOfUpstream(u.announcement)
-	}
+	u.digest = hashOfUpstream(u.announcement)
 	c.listDigest += u.digest
 	if c.revisionByDigest == nil || len(c.revisionByDigest) >= maxListDigests {
 		c.revisionByDigest = map[uint64]uint64{}
@@ -67,5 +64,8 @@
 	}
 	key = strconv.AppendUint(key, a.Incarnation, 16)
 	key = strconv.AppendInt(append(key, 0), int64(a.Slots), 16)
+	if a.Leaving {
+		key = append(key, "leaving"...)
+	}
 	return xxhash.Sum64(key)
 }
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -44,10 +44,14 @@
 	if a.Leaving != u.announcement.Leaving || a.Role != u.announcement.Role {
 		c.markSuspect(a.Service)
 	}
+	begins := a.Leaving && (!u.announcement.Leaving || a.Incarnation != u.announcement.Incarnation)
 	u.announcement, u.announcedAt = a, c.now
 	if changed {
 		c.advanceRevision(u)
 	}
+	if begins {
+		c.trackLeaving(u)
+	}
 	if mustEnroll {
 		c.proposeEnrollment(a)
 	}
--- a/node/control_track.go
+++ b/node/control_track.go
@@ -21,6 +21,9 @@
 	if c.isConfigured(a.Service) {
 		c.keepConnectionOpen(u)
 	}
+	if u.announcement.Leaving {
+		c.trackLeaving(u)
+	}
 	c.proposeEnrollment(a)
 }
 
--- a/node/control_upstream_list_test.go
+++ b/node/control_upstream_list_test.go
@@ -112,3 +112,28 @@
 		})
 	})
 }
+
+// TestListBeforeAnUpstreamIsNotTheListAfterIt guards against a leader that takes an
+// entry's list from before an upstream came for the one after it began to leave.
+func TestListBeforeAnUpstreamIsNotTheListAfterIt(t *testing.T) {
+	Convey("an entry with the earlier list is told of an upstream that is leaving", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		So(w.runCommand(adoptCommand(1, time.Second)).Code, ShouldEqual, ReplyOK)
+		w.announceMany(3)
+		mark := w.reportUpstreams(1, wire.UpstreamsMark{}).UpstreamsMark
+		w.advance(time.Second)
+		a := testAnnouncement("late", catalog.RoleReplica, 1)
+		Convey("which said so at first", func() {
+			a.Leaving = true
+			w.step(AnnouncementReceived{Announcement: a})
+		})
+		Convey("which came and left since", func() {
+			w.step(AnnouncementReceived{Announcement: a})
+			a.Leaving, a.Sequence = true, 2
+			w.step(AnnouncementReceived{Announcement: a})
+		})
+		told := w.reportUpstreams(2, mark).Upstreams
+		So(told, ShouldHaveLength, 1)
+		So(told[0].Leaving, ShouldBeTrue)
+	})
+}
--- a/node/control_views.go
+++ b/node/control_views.go
@@ -95,7 +95,6 @@
 	// revision is the leader's revision at the last change that must be sent to
 	// the entries.
 	revision uint64
-	// digest is the upstream's part of the digest of the list, zero while it is
-	// leaving.
+	// digest is the upstream's part of the digest of the list.
 	digest uint64
 }
