registry, node: keep retired upstreams listed for later leaders

Callers' requests reached an upstream 7,009 ms after the ack of its draining and later (bound 7,000 ms). Killed in between, it leaves entries that use the upstream, and the next leader could not tell them: the agreed state dropped a retired upstream from the list that a new leader starts with. An upstream that has its ack says nothing more.

The state keeps it now, marked as leaving, until Retired drops it (1,024). A new leader restores the list in the order in which it changed, so that its digests match and an entry that missed only the last retirements gets only these. An upstream that is not recorded yet is recorded before it is retired. Restored upstreams that left are not surveyed, unless they are the primary: that one is now replaced after a change of leader.

--- a/node/control_leaving.go
+++ b/node/control_leaving.go
@@ -36,8 +36,8 @@
 	c.leaving = append(c.leaving, leavingUpstream{upstream: u, revision: u.revision, since: c.now})
 }
 
-// reportLeaving logs for each upstream that leaves when all entries that report
-// have confirmed it.
+// reportLeaving logs when all entries that report have confirmed that upstreams
+// leave.
 func (c *Control) reportLeaving() {
 	if len(c.leaving) == 0 {
 		return
@@ -48,15 +48,18 @@
 			confirmed, entries = min(confirmed, c.confirmedRevision(v)), entries+1
 		}
 	}
-	if entries == 0 {
-		return
+	known, last := 0, leavingUpstream{}
+	if entries > 0 {
+		c.leaving = slices.DeleteFunc(c.leaving, func(l leavingUpstream) bool {
+			if l.revision > confirmed {
+				return false
+			}
+			known, last = known+1, l
+			return true
+		})
+	}
+	if known > 0 {
+		c.log("control", "The entries know which upstreams are leaving.", "instance", string(last.upstream.announcement.Instance),
+			"upstreams", strconv.Itoa(known), "entries", strconv.Itoa(entries), "after", c.now.Sub(last.since).String())
 	}
-	c.leaving = slices.DeleteFunc(c.leaving, func(l leavingUpstream) bool {
-		if l.revision > confirmed {
-			return false
-		}
-		c.log("control", "The entries know that an upstream is leaving.", "instance", string(l.upstream.announcement.Instance),
-			"entries", strconv.Itoa(entries), "after", c.now.Sub(l.since).String())
-		return true
-	})
 }
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -37,6 +37,7 @@
 		}
 		return
 	}
+	c.addToGroup(u)
 	if u.announcement.Incarnation == a.Incarnation && u.announcement.Leaving || c.state.IsRetired(a.Instance, a.Incarnation) {
 		a.Leaving = true
 	}
--- a/node/control_track.go
+++ b/node/control_track.go
@@ -12,9 +12,7 @@
 	u := &upstreamView{announcement: a, announcedAt: c.now}
 	c.advanceRevision(u)
 	c.upstreams[a.Instance] = u
-	group := append(c.upstreamsByService[a.Service], u)
-	sort.Slice(group, func(i, j int) bool { return group[i].announcement.Instance < group[j].announcement.Instance })
-	c.upstreamsByService[a.Service] = group
+	c.addToGroup(u)
 	c.markSuspect(a.Service)
 	// Anyone may announce an upstream of a service that does not exist.
 	// keepConnectionsOpen queries the upstream once its service is configured.
@@ -27,6 +25,17 @@
 	c.proposeEnrollment(a)
 }
 
+// addToGroup adds an upstream to those of its service.
+func (c *Control) addToGroup(u *upstreamView) {
+	if u.inGroup {
+		return
+	}
+	u.inGroup = true
+	group := append(c.upstreamsByService[u.announcement.Service], u)
+	sort.Slice(group, func(i, j int) bool { return group[i].announcement.Instance < group[j].announcement.Instance })
+	c.upstreamsByService[u.announcement.Service] = group
+}
+
 func (c *Control) isConfigured(id catalog.ServiceID) bool {
 	_, ok := c.state.Service(id)
 	return ok
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -58,12 +58,26 @@
 		return
 	}
 	if a.Leaving && !c.state.IsRetired(a.Instance, a.Incarnation) {
-		c.proposeForCommand(number, registry.Change{Retire: &registry.RetireUpstream{Instance: a.Instance, Incarnation: a.Incarnation}})
+		c.proposeRetirement(number, a)
 		return
 	}
 	c.reply(number, Reply{Code: ReplyOK, Version: c.state.Version})
 }
 
+// proposeRetirement proposes that an incarnation of an upstream gets no new work.
+// The upstream is recorded first if it is not, so that later leaders can tell the
+// entries that it leaves.
+func (c *Control) proposeRetirement(number uint64, a catalog.Announcement) {
+	if c.options.DistributesUpstreams && !c.state.IsRegistered(a.Instance, a.Incarnation) {
+		a.Role, a.Position = catalog.RoleUnknown, catalog.Position{}
+		if err := c.tryPropose(registry.Change{Register: &a}, 0); errors.Is(err, errors.NotValid) {
+			c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: err.Error()})
+			return
+		}
+	}
+	c.proposeForCommand(number, registry.Change{Retire: &registry.RetireUpstream{Instance: a.Instance, Incarnation: a.Incarnation}})
+}
+
 // relayAnnouncement sends the announcement of an upstream to the leader and
 // reports whether it may be acknowledged. A message between control VMs costs the
 // leader a small part of what a call of the upstream does. If it is lost, the next
@@ -87,7 +101,9 @@
 		c.reply(number, Reply{Code: ReplyOK, Version: c.state.Version, Text: "The upstream gets no new work."})
 		return
 	}
-	c.proposeForCommand(number, registry.Change{Retire: &registry.RetireUpstream{Instance: r.Instance, Incarnation: r.Incarnation}})
+	a := u.announcement
+	a.Incarnation = r.Incarnation
+	c.proposeRetirement(number, a)
 }
 
 // handleRetired marks an upstream as leaving after its retirement was
@@ -171,7 +187,10 @@
 }
 
 // restoreUpstreams adds the upstreams that earlier leaders recorded. Control
-// itself does not use them until they announce themselves.
+// itself does not use them until they announce themselves. Those that leave are
+// added as if they did not, and then marked in the order in which they were
+// retired. The list thus has the digests that it had under the earlier leaders, and
+// an entry that missed only the last retirements gets only these.
 func (c *Control) restoreUpstreams() {
 	if !c.options.DistributesUpstreams {
 		return
@@ -183,8 +202,18 @@
 			continue
 		}
 		u := &upstreamView{announcement: a}
+		u.announcement.Leaving = false
 		c.upstreams[a.Instance] = u
-		c.upstreamsByService[a.Service] = append(c.upstreamsByService[a.Service], u)
+		// An upstream that left may be gone. It is needed only as a primary.
+		if !a.Leaving || c.state.Primary(a.Service).Instance == a.Instance {
+			u.inGroup = true
+			c.upstreamsByService[a.Service] = append(c.upstreamsByService[a.Service], u)
+		}
 		c.advanceRevision(u)
 	}
+	for _, r := range c.state.Retired {
+		if u := c.upstreams[r.Instance]; u != nil && u.announcement.Incarnation <= r.Incarnation {
+			c.markLeaving(u)
+		}
+	}
 }
--- a/node/control_views.go
+++ b/node/control_views.go
@@ -97,4 +97,6 @@
 	revision uint64
 	// digest is the upstream's part of the digest of the list.
 	digest uint64
+	// inGroup is set once the upstream is in upstreamsByService.
+	inGroup bool
 }
--- a/registry/adopt.go
+++ b/registry/adopt.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -120,19 +121,34 @@
 }
 
 func (s *State) retireUpstream(r RetireUpstream) Result {
-	s.Upstreams = slices.DeleteFunc(slices.Clone(s.Upstreams), func(a catalog.Announcement) bool {
-		return a.Instance == r.Instance && a.Incarnation <= r.Incarnation
-	})
 	kept := slices.DeleteFunc(slices.Clone(s.Retired), func(old RetireUpstream) bool {
 		return old.Instance == r.Instance && old.Incarnation <= r.Incarnation
 	})
 	s.Retired = append(kept, r)
-	if over := len(s.Retired) - maxRetired; over > 0 {
-		s.Retired = s.Retired[over:]
+	dropped := s.Retired[:max(len(s.Retired)-maxRetired, 0)]
+	s.Retired = s.Retired[len(dropped):]
+	s.Upstreams = slices.DeleteFunc(slices.Clone(s.Upstreams), func(a catalog.Announcement) bool {
+		return a.Leaving && slices.ContainsFunc(dropped, func(old RetireUpstream) bool { return old.Instance == a.Instance })
+	})
+	if i, found := s.findUpstream(r.Instance); found && s.Upstreams[i].Incarnation <= r.Incarnation {
+		s.Upstreams[i].Leaving = true
 	}
 	return Result{Code: CodeOK, Version: s.Version}
 }
 
+// findUpstream returns the index of a registered upstream, or where it belongs.
+func (s *State) findUpstream(id catalog.InstanceID) (int, bool) {
+	return slices.BinarySearchFunc(s.Upstreams, id, func(a catalog.Announcement, id catalog.InstanceID) int {
+		return cmp.Compare(a.Instance, id)
+	})
+}
+
+// IsRegistered reports whether an incarnation of an upstream is registered.
+func (s *State) IsRegistered(id catalog.InstanceID, incarnation uint64) bool {
+	i, found := s.findUpstream(id)
+	return found && s.Upstreams[i].Incarnation == incarnation
+}
+
 // IsRetired reports whether an incarnation of an upstream is retired. Retiring
 // an incarnation includes all earlier ones.
 func (s *State) IsRetired(id catalog.InstanceID, incarnation uint64) bool {
@@ -145,9 +161,9 @@
 	if s.IsRetired(a.Instance, a.Incarnation) {
 		return Result{Code: CodeConflict, Version: s.Version}
 	}
-	i := sort.Search(len(s.Upstreams), func(i int) bool { return s.Upstreams[i].Instance >= a.Instance })
+	i, found := s.findUpstream(a.Instance)
 	switch {
-	case i == len(s.Upstreams) || s.Upstreams[i].Instance != a.Instance:
+	case !found:
 		// The list is changed in place: a copy for each of 3,600 upstreams that start
 		// together would be 1 GB.
 		s.Upstreams = slices.Insert(s.Upstreams, i, a)
--- a/registry/apply_test.go
+++ b/registry/apply_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/juju/errors"
@@ -74,3 +75,40 @@
 		So(errors.Is(err, errors.NotValid), ShouldBeTrue)
 	})
 }
+
+// TestRetiredUpstreamStaysListed guards against a later leader that can't tell the
+// entries which upstreams have left.
+func TestRetiredUpstreamStaysListed(t *testing.T) {
+	Convey("a retired upstream stays listed as leaving, also in a snapshot, until it starts again", t, func() {
+		s := New()
+		a := catalog.Announcement{Service: "orders", Instance: "a", Incarnation: 3, Sequence: 1}
+		s.Apply(Change{Register: &a})
+		s.Apply(Change{Retire: &RetireUpstream{Instance: "a", Incarnation: 3}})
+		data, err := s.Snapshot()
+		So(err, ShouldBeNil)
+		s, err = Restore(data)
+		So(err, ShouldBeNil)
+		So(s.Upstreams, ShouldHaveLength, 1)
+		So(s.Upstreams[0].Leaving, ShouldBeTrue)
+		late := a
+		late.Sequence = 9
+		So(s.Apply(Change{Register: &late}).Code, ShouldEqual, CodeConflict)
+		So(s.Upstreams[0].Leaving, ShouldBeTrue)
+		a.Incarnation = 4
+		s.Apply(Change{Register: &a})
+		So(s.Upstreams, ShouldResemble, []catalog.Announcement{a})
+		s.Apply(Change{Retire: &RetireUpstream{Instance: "a", Incarnation: 3}})
+		So(s.Upstreams, ShouldResemble, []catalog.Announcement{a})
+	})
+	Convey("the list of upstreams that left is bounded", t, func() {
+		s := New()
+		for n := range 2 * maxRetired {
+			a := catalog.Announcement{Service: "orders", Instance: catalog.InstanceID(fmt.Sprintf("i%05d", n)), Incarnation: 1}
+			s.Apply(Change{Register: &a})
+			s.Apply(Change{Retire: &RetireUpstream{Instance: a.Instance, Incarnation: 1}})
+		}
+		So(s.Upstreams, ShouldHaveLength, maxRetired)
+		So(s.IsRegistered("i02047", 1), ShouldBeTrue)
+		So(s.IsRegistered("i01023", 1), ShouldBeFalse)
+	})
+}
--- a/registry/state.go
+++ b/registry/state.go
@@ -83,8 +83,9 @@
 	// recently retired first. Invariant: at most one per instance, at most
 	// maxRetired.
 	Retired []RetireUpstream `cbor:"12,keyasint,omitempty"`
-	// Upstreams are the registered upstreams that are not retired, sorted by
-	// instance.
+	// Upstreams are the registered upstreams, sorted by instance. Invariant: a
+	// retired one is marked as leaving. It stays until Retired drops it, so that
+	// each later leader tells the entries.
 	Upstreams []catalog.Announcement `cbor:"13,keyasint,omitempty"`
 	// KeysRequired is set if callers need the key of an organisation.
 	// Organisations are sorted by id.
