node: put leaving upstreams in front of a part of a long list

An entry that is sent a list of thousands of upstreams in parts, as after a change of leader, learns of an upstream that began to leave with the last part: 3,600 upstreams take 12 answers, about 5 s of the 7 s that it has. Parts begin with the upstreams that are leaving and that not all entries have confirmed, at most 160. Complete answers are as before. TestLeavingUpstreamDoesNotWaitForALongList fails before: the first upstreams were i0320 and i0000.

--- a/node/control_leaving.go
+++ b/node/control_leaving.go
@@ -36,6 +36,18 @@
 	c.leaving = append(c.leaving, leavingUpstream{upstream: u, revision: u.revision, since: c.now})
 }
 
+// addLeaving puts the upstreams that began to leave last in front of a part of a
+// long list. They must not wait until the list is complete, which takes seconds.
+func (c *Control) addLeaving(list []catalog.Announcement, since uint64) []catalog.Announcement {
+	var first []catalog.Announcement
+	for _, l := range c.leaving[max(len(c.leaving)-maxPreferredUpstreams, 0):] {
+		if l.revision > since && l.upstream.announcement.Leaving {
+			first = append(first, l.upstream.announcement)
+		}
+	}
+	return append(first, list...)
+}
+
 // reportLeaving logs when all entries that report have confirmed that upstreams
 // leave.
 func (c *Control) reportLeaving() {
--- a/node/control_upstream_list.go
+++ b/node/control_upstream_list.go
@@ -118,6 +118,7 @@
 			a.Upstreams, revision = c.upstreamsSince(since, maxUpstreamsPerAnswer-len(first))
 			a.Upstreams = append(first, a.Upstreams...)
 		}
+		a.Upstreams = c.addLeaving(a.Upstreams, since)
 	}
 	v.sentRevision = revision
 	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: revision}
--- a/node/control_upstream_list_test.go
+++ b/node/control_upstream_list_test.go
@@ -137,3 +137,31 @@
 		So(told[0].Leaving, ShouldBeTrue)
 	})
 }
+
+// TestLeavingUpstreamDoesNotWaitForALongList guards against an entry that uses an
+// upstream for seconds after it left, while it is sent thousands of others.
+func TestLeavingUpstreamDoesNotWaitForALongList(t *testing.T) {
+	Convey("each part of a long list begins with the upstreams that began to leave", t, func() {
+		w := newLargeControl()
+		w.announceMany(1200)
+		mark := w.reportUpstreams(1, wire.UpstreamsMark{}).UpstreamsMark
+		a := testAnnouncement("i0900", catalog.RoleReplica, 2)
+		a.Service, a.Leaving = largeServiceID(300), true
+		w.step(AnnouncementReceived{Announcement: a})
+		w.advance(time.Second)
+		told := w.reportUpstreams(2, mark).Upstreams
+		So(told[0].Instance, ShouldEqual, a.Instance)
+		So(told[0].Leaving, ShouldBeTrue)
+	})
+	Convey("so does a list of the next leader", t, func() {
+		w := newLargeControl()
+		w.announceMany(1200)
+		w.advance(time.Second)
+		So(w.runCommand(Command{Retire: &RetireUpstream{Instance: "i0900"}}).Code, ShouldEqual, ReplyOK)
+		w.control.resetLeaderState()
+		w.advance(10 * time.Millisecond)
+		told := w.reportUpstreams(1, wire.UpstreamsMark{}).Upstreams
+		So(told[0].Instance, ShouldEqual, catalog.InstanceID("i0900"))
+		So(told[0].Leaving, ShouldBeTrue)
+	})
+}
