node: name the leader of a list by its ballot

Revisions of the list start at the time since the boot of the leader's VM. After a loss of power this starts at zero, so that a VM that leads again took the revision that an entry had from its earlier lead for a newer one than its own, and sent the entry nothing: an upstream whose draining it had acknowledged before stayed in use. A delayed answer of the same leader could also set an entry's mark back, as marks of complete lists were compared with their digests.

The mark names the leader with its ballot, and entries compare leaders without the digest. Marks of earlier builds count as those of another leader.

A test that named the leader itself now asks for it.

--- a/node/control.go
+++ b/node/control.go
@@ -124,6 +124,8 @@
 	// changes holds the changes of upstreams by ascending revision. While thousands
 	// of upstreams start, 1,500 answers a second need those since some revision.
 	changes []upstreamChange
+	// leaderName is the result of listLeader, empty before the first call.
+	leaderName catalog.VMID
 	// listDigest identifies the upstreams whatever leader sent them, and
 	// revisionByDigest holds the revisions of earlier digests.
 	listDigest       uint64
@@ -193,7 +195,7 @@
 	c.balance = controlBalance{}
 	c.sites.views, c.sites.nextUpdateAt, c.sites.awaited = nil, 0, nil
 	c.waitingEnrollments, c.immediateEnrollments = nil, 0
-	c.changes, c.listDigest, c.revisionByDigest, c.leaving = nil, 0, nil, nil
+	c.changes, c.listDigest, c.revisionByDigest, c.leaving, c.leaderName = nil, 0, nil, nil, ""
 	c.revision = max(c.revision+1, uint64(c.now))
 	c.unreachableSince = map[catalog.VMID]catalog.Instant{}
 	c.replacement = nil
--- a/node/control_list_digest.go
+++ b/node/control_list_digest.go
@@ -21,6 +21,19 @@
 // maxListDigests bounds the digests that a leader remembers.
 const maxListDigests = 4096
 
+// ballotSeparator separates the leader's name from the ballot in which it leads.
+const ballotSeparator = "#"
+
+// listLeader names this leader in the marks of its lists. The ballot is part of the
+// name: revisions start again when a VM has rebooted, and revisions of its earlier
+// lead must not count.
+func (c *Control) listLeader() catalog.VMID {
+	if c.leaderName == "" {
+		c.leaderName = c.options.VM + catalog.VMID(ballotSeparator+strconv.FormatUint(uint64(c.quorum.Ballot()), 16))
+	}
+	return c.leaderName
+}
+
 func listName(vm catalog.VMID, digest uint64) catalog.VMID {
 	if digest == 0 {
 		return vm
--- a/node/control_load_test.go
+++ b/node/control_load_test.go
@@ -123,7 +123,7 @@
 			w.advance(interval)
 		}
 		So(sent, ShouldEqual, upstreams)
-		confirmed := wire.UpstreamsMark{Leader: "c1", Revision: w.control.revision}
+		confirmed := wire.UpstreamsMark{Leader: w.control.listLeader(), Revision: w.control.revision}
 		So(report(w, 1, sequence+1, confirmed), ShouldEqual, 0)
 		So(report(w, 2, 1, wire.UpstreamsMark{}), ShouldEqual, upstreams)
 		So(report(w, 3, 1, wire.UpstreamsMark{}), ShouldEqual, upstreams)
--- a/node/control_upstream_list.go
+++ b/node/control_upstream_list.go
@@ -37,7 +37,7 @@
 // confirmedRevision returns the revision of the upstreams that the entry knew at
 // its last report, zero if this leader does not know that.
 func (c *Control) confirmedRevision(v *entryView) uint64 {
-	if v.upstreamsMark.Leader == c.options.VM {
+	if v.upstreamsMark.Leader == c.listLeader() {
 		return v.upstreamsMark.Revision
 	}
 	leader, digest := splitListName(v.upstreamsMark.Leader)
@@ -45,7 +45,7 @@
 	if digest != 0 {
 		revision = c.revisionByDigest[digest]
 	}
-	if leader == c.options.VM {
+	if leader == c.listLeader() {
 		revision = max(revision, v.upstreamsMark.Revision)
 	}
 	return revision
@@ -121,9 +121,9 @@
 		a.Upstreams = c.addLeaving(a.Upstreams, since)
 	}
 	v.sentRevision = revision
-	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.options.VM, Revision: revision}
+	a.UpstreamsMark = wire.UpstreamsMark{Leader: c.listLeader(), Revision: revision}
 	if revision == c.revision {
-		a.UpstreamsMark.Leader = listName(c.options.VM, c.listDigest)
+		a.UpstreamsMark.Leader = listName(c.listLeader(), c.listDigest)
 	}
 	if since == c.revision {
 		return
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -43,8 +43,9 @@
 	if a.UpstreamsMark.Leader == "" {
 		return
 	}
-	same := a.UpstreamsMark.Leader == e.upstreamsMark.Leader
-	if same && a.UpstreamsMark.Revision < e.upstreamsMark.Revision {
+	leader, _ := splitListName(a.UpstreamsMark.Leader)
+	known, _ := splitListName(e.upstreamsMark.Leader)
+	if leader == known && a.UpstreamsMark.Revision < e.upstreamsMark.Revision {
 		return
 	}
 	e.upstreamsMark = a.UpstreamsMark
--- a/node/system_listed_test.go
+++ b/node/system_listed_test.go
@@ -69,7 +69,7 @@
 )
 
 var faultKinds = []string{
-	"kill-leader", "kill-control", "kill-entries", "stop-leader", "freeze-leader", "freeze-entry",
+	"kill-leader", "kill-control", "reboot-control", "kill-entries", "stop-leader", "freeze-leader", "freeze-entry",
 	"cut-leader", "cut-entry", "lose-messages", "kill-upstream",
 }
 
@@ -169,9 +169,14 @@
 	switch f.kind {
 	case "kill-leader":
 		w.restart(leader, f.lasts)
-	case "kill-control":
+	case "kill-control", "reboot-control":
 		for _, vm := range w.names('k') {
-			w.restart(w.byName[vm], f.lasts)
+			p := w.byName[vm]
+			w.restart(p, f.lasts)
+			if f.kind == "reboot-control" {
+				// The clocks of VMs start again at zero.
+				p.bootedAt = w.now
+			}
 		}
 	case "kill-entries":
 		w.restart(entry, f.lasts)
--- a/node/system_simulation_test.go
+++ b/node/system_simulation_test.go
@@ -41,6 +41,8 @@
 		control *node.Control
 		// calmSince is when the last fault of the process or of its links ended.
 		calmSince catalog.Instant
+		// bootedAt is when the clock of the process's VM started.
+		bootedAt catalog.Instant
 		// drift is the relative error of the process's clock; positive means
 		// fast.
 		drift float64
@@ -222,12 +224,12 @@
 }
 
 func (w *simulation) localTime(p *process) catalog.Instant {
-	return catalog.Instant(float64(w.now) * (1 + p.drift))
+	return catalog.Instant(float64(w.now-p.bootedAt) * (1 + p.drift))
 }
 
 // untilLocal returns the virtual time until a process's clock shows an instant.
 func (w *simulation) untilLocal(p *process, at catalog.Instant) time.Duration {
-	return max(0, time.Duration(float64(at)/(1+p.drift))-time.Duration(w.now)+1)
+	return max(0, time.Duration(float64(at)/(1+p.drift))-time.Duration(w.now-p.bootedAt)+1)
 }
 
 // deliver delivers an input to an incarnation of a process after a delay, or
