node: send leaving upstreams while settings are on their way

While a configuration of more than 400 routes is on its way to an entry, control sends it no upstreams. If the configuration gets lost, it counts as on its way for 2 to 12.4 s, and an upstream that left meanwhile stayed in use beyond the 7 s.

Answers hold the upstreams that began to leave in that time too, and while other upstreams are on their way, at most 160, without a mark; an entry applies them and keeps its mark. TestLeavingUpstreamDoesNotWaitForSettings fails before, in both parts.

--- a/node/control_upstream_list.go
+++ b/node/control_upstream_list.go
@@ -103,12 +103,17 @@
 }
 
 // addUpstreamsToAnswer adds the upstreams that changed after the revision that
-// the entry has confirmed.
+// the entry has confirmed. While others are on their way, it adds only those that
+// began to leave, without a mark.
 func (c *Control) addUpstreamsToAnswer(a *wire.Answer, v *entryView) {
-	if !c.options.DistributesUpstreams || c.areUpstreamsInFlight(v) || c.areLongSettingsInFlight(v) {
+	if !c.options.DistributesUpstreams {
 		return
 	}
 	since := c.confirmedRevision(v)
+	if c.areUpstreamsInFlight(v) || c.areLongSettingsInFlight(v) {
+		a.Upstreams = c.addLeaving(nil, since)
+		return
+	}
 	revision := c.revision
 	if since != revision {
 		a.Upstreams, revision = c.upstreamsSince(since, maxUpstreamsPerAnswer)
--- a/node/control_upstream_list_test.go
+++ b/node/control_upstream_list_test.go
@@ -165,3 +165,47 @@
 		So(told[0].Leaving, ShouldBeTrue)
 	})
 }
+
+// TestLeavingUpstreamDoesNotWaitForSettings guards against an entry that uses an
+// upstream for seconds after it left, as a long configuration is on its way.
+func TestLeavingUpstreamDoesNotWaitForSettings(t *testing.T) {
+	Convey("an upstream that began to leave is sent while a long configuration is on its way", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		c := adoptCommand(1, time.Second)
+		for n := range 3000 {
+			c.Adopt.Configuration.Routes = append(c.Adopt.Configuration.Routes, catalog.Route{
+				RouteKey: catalog.RouteKey{Database: fmt.Sprintf("base%d", n)}, Service: "orders", Timeout: time.Second,
+			})
+		}
+		So(w.runCommand(c).Code, ShouldEqual, ReplyOK)
+		w.announceMany(3)
+		report := func(sequence uint64) *wire.Answer {
+			w.step(MessageReceived{From: "e1", Message: wire.Message{Report: &wire.Report{VM: "e1", Site: "s1", Incarnation: 1, Sequence: sequence}}})
+			return w.lastAnswer("e1")
+		}
+		So(report(1).Routes, ShouldNotBeEmpty)
+		a := testAnnouncement("i0001", catalog.RoleReplica, 2)
+		a.Service, a.Leaving = largeServiceID(0), true
+		w.step(AnnouncementReceived{Announcement: a})
+		w.advance(100 * time.Millisecond)
+		answer := report(2)
+		So(answer.Routes, ShouldBeEmpty)
+		So(answer.Upstreams, ShouldHaveLength, 1)
+		So(answer.Upstreams[0].Leaving, ShouldBeTrue)
+		So(answer.UpstreamsMark, ShouldResemble, wire.UpstreamsMark{})
+	})
+	Convey("an entry takes it and keeps its mark", t, func() {
+		w := newListedEntry()
+		w.controlAnswers = false
+		w.advance(100 * time.Millisecond)
+		mark := w.entry.upstreamsMark
+		So(mark.Leader, ShouldNotBeEmpty)
+		leaving := w.answer.Upstreams[1]
+		leaving.Leaving = true
+		w.entry.Step(Event{Now: w.now, Input: MessageReceived{From: "c1", Message: wire.Message{Answer: &wire.Answer{
+			Leader: "c1", Sequence: w.entry.report.sequence, Version: 1, Upstreams: []catalog.Announcement{leaving},
+		}}}})
+		So(w.entry.upstreamsMark, ShouldResemble, mark)
+		So(w.entry.services["orders"].instance(leaving.Instance).isLeaving, ShouldBeTrue)
+	})
+}
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -69,7 +69,7 @@
 // entries that it leaves.
 func (c *Control) proposeRetirement(number uint64, a catalog.Announcement) {
 	if c.options.DistributesUpstreams && !c.state.IsRegistered(a.Instance, a.Incarnation) {
-		a.Role, a.Position = catalog.RoleUnknown, catalog.Position{}
+		a.Role, a.Position, a.Leaving = catalog.RoleUnknown, catalog.Position{}, false
 		if err := c.tryPropose(registry.Change{Register: &a}, 0); errors.Is(err, errors.NotValid) {
 			c.reply(number, Reply{Code: ReplyInvalid, Version: c.state.Version, Text: err.Error()})
 			return
--- a/node/entry_listed.go
+++ b/node/entry_listed.go
@@ -37,18 +37,17 @@
 	})
 }
 
-// applyUpstreams applies control's list of upstreams unless the same leader has
-// already sent a newer one.
+// applyUpstreams applies control's list of upstreams. The mark stays if the same
+// leader has already sent a newer list, or if the answer has only some upstreams.
 func (e *Entry) applyUpstreams(a wire.Answer) {
-	if a.UpstreamsMark.Leader == "" {
-		return
-	}
 	leader, _ := splitListName(a.UpstreamsMark.Leader)
 	known, _ := splitListName(e.upstreamsMark.Leader)
 	if leader == known && a.UpstreamsMark.Revision < e.upstreamsMark.Revision {
 		return
 	}
-	e.upstreamsMark = a.UpstreamsMark
+	if leader != "" {
+		e.upstreamsMark = a.UpstreamsMark
+	}
 	for _, announcement := range a.Upstreams {
 		e.handleAnnouncement(announcement, false)
 	}
