node: record the retirement of an upstream that is not known

A retirement that names an incarnation was acknowledged and forgotten if the leader had no announcement of the upstream, as after a change of leader: a later announcement made it usable again. It is recorded now. A removal that names no incarnation of an unknown upstream is acknowledged as before, as there is nothing to exclude. TestRetirementOfAnUnknownUpstreamIsRecorded fails before.

--- a/node/control_upstream_list_test.go
+++ b/node/control_upstream_list_test.go
@@ -209,3 +209,19 @@
 		So(w.entry.services["orders"].instance(leaving.Instance).isLeaving, ShouldBeTrue)
 	})
 }
+
+// TestRetirementOfAnUnknownUpstreamIsRecorded guards against an acknowledged
+// retirement that is forgotten, as the leader had no announcement of the upstream.
+func TestRetirementOfAnUnknownUpstreamIsRecorded(t *testing.T) {
+	Convey("an upstream that announces itself after its retirement gets no new work, a later incarnation does", t, func() {
+		w := newSoloControl(quorum.PersistentState{})
+		So(w.runCommand(adoptCommand(1, time.Second)).Code, ShouldEqual, ReplyOK)
+		a := testAnnouncement("late", catalog.RoleReplica, 1)
+		So(w.runCommand(Command{Retire: &RetireUpstream{Instance: "late", Incarnation: a.Incarnation}}).Code, ShouldEqual, ReplyOK)
+		w.step(AnnouncementReceived{Announcement: a})
+		So(w.control.upstreams["late"].announcement.Leaving, ShouldBeTrue)
+		a.Incarnation++
+		w.step(AnnouncementReceived{Announcement: a})
+		So(w.control.upstreams["late"].announcement.Leaving, ShouldBeFalse)
+	})
+}
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -97,13 +97,16 @@
 	if r.Incarnation == 0 && u != nil {
 		r.Incarnation = u.announcement.Incarnation
 	}
-	if u == nil || c.state.IsRetired(r.Instance, r.Incarnation) {
+	switch {
+	case r.Incarnation == 0 && u == nil, c.state.IsRetired(r.Instance, r.Incarnation):
 		c.reply(number, Reply{Code: ReplyOK, Version: c.state.Version, Text: "The upstream gets no new work."})
-		return
+	case u == nil:
+		c.proposeForCommand(number, registry.Change{Retire: &registry.RetireUpstream{Instance: r.Instance, Incarnation: r.Incarnation}})
+	default:
+		a := u.announcement
+		a.Incarnation = r.Incarnation
+		c.proposeRetirement(number, a)
 	}
-	a := u.announcement
-	a.Incarnation = r.Incarnation
-	c.proposeRetirement(number, a)
 }
 
 // handleRetired marks an upstream as leaving after its retirement was
