node: take no settings of peers where control distributes upstreams

An entry that restarts asks entries of its site for their settings. That message holds neither routes nor organisations. With upstreams from control, the entry took the version for all it should have: control sent it nothing more, it served no database and asked for no key.

Such entries wait for control, as they do for the list of upstreams.

--- a/node/entry_catchup.go
+++ b/node/entry_catchup.go
@@ -33,6 +33,10 @@
 // newEntryCatchUp makes each entry of a site start with a different peer, so
 // that a site that restarts as a whole does not send all requests to one entry.
 func newEntryCatchUp(o EntryOptions, siteVMs, peers []catalog.VMID) entryCatchUp {
+	if o.UpstreamsFromControl {
+		// Settings of peers hold neither routes nor organisations.
+		siteVMs, peers = []catalog.VMID{o.VM}, nil
+	}
 	p := entryCatchUp{confirmed: map[catalog.VMID]bool{}}
 	own := slices.Index(siteVMs, o.VM)
 	for n := 1; n < len(siteVMs); n++ {
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+
 	"github.com/kingcupknot/kingcupknot/catalog"
 )
 
@@ -34,3 +36,56 @@
 
 // Leads reports whether the control VM leads.
 func (c *Control) Leads() bool { return c.isLeader }
+
+// ActsOn describes what the agreed state lets entries act on, and which of the given
+// upstreams may get work.
+func (c *Control) ActsOn(upstreams []catalog.InstanceID) []string {
+	s := c.state
+	out := describeSettings(s.Version, s.Services, s.Routes, s.KeysRequired, s.Organisations, s.Drained)
+	for _, id := range upstreams {
+		if u := c.upstreams[id]; u != nil && !s.IsRetired(id, u.announcement.Incarnation) {
+			out = append(out, fmt.Sprintf("upstream %s %d", id, u.announcement.Incarnation))
+		}
+	}
+	return out
+}
+
+// ActsOn describes what the entry acts on.
+func (e *Entry) ActsOn(upstreams []catalog.InstanceID) []string {
+	var services []catalog.Service
+	for _, id := range e.serviceIDs {
+		if s := e.services[id]; s.accepted {
+			services = append(services, s.settings)
+		}
+	}
+	var organisations []catalog.Organisation
+	if e.organisations != nil {
+		for _, id := range e.organisations.IDs() {
+			o, _ := e.organisations.ByID(id)
+			organisations = append(organisations, o)
+		}
+	}
+	out := describeSettings(e.version, services, e.routes, e.organisations != nil, organisations, e.drained)
+	for _, id := range upstreams {
+		for _, name := range e.serviceIDs {
+			if i := e.services[name].instance(id); i != nil && !i.isLeaving {
+				out = append(out, fmt.Sprintf("upstream %s %d", id, i.announcement.Incarnation))
+			}
+		}
+	}
+	return out
+}
+
+func describeSettings(version catalog.Version, services []catalog.Service, routes []catalog.Route, keys bool, organisations []catalog.Organisation, drained []catalog.InstanceID) []string {
+	out := []string{fmt.Sprintf("version %d, keys %t, drained %v", version, keys, drained)}
+	for _, s := range services {
+		out = append(out, fmt.Sprintf("service %+v", s))
+	}
+	for _, r := range routes {
+		out = append(out, fmt.Sprintf("route %+v", r))
+	}
+	for _, o := range organisations {
+		out = append(out, fmt.Sprintf("organisation %+v", o))
+	}
+	return out
+}
