--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -65,8 +65,6 @@
 	zoneCount       = 3
 	entriesPerZone  = 2
 	heartbeat       = 1200 * time.Millisecond
-	restartDelay    = 300 * time.Millisecond
-	killGrace       = 6 * time.Second
 	controlCallTime = time.Second
 	firstVersion    = 2
 	// startTime is how long the deployment may take to start.
@@ -174,7 +172,11 @@
 		return err
 	}
 	p.settings = filepath.Join(f.folder, p.name+".json")
-	return os.WriteFile(p.settings, text, 0o600)
+	// A process never reads a part of the file.
+	if err := os.WriteFile(p.settings+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(p.settings+".new", p.settings)
 }
 
 // startProcess starts a process with the command of the deploy file.
