review: show that a service without its first primary never gets one

The failover that finds the first primary accepts only an instance that answers as primary, and never turns into another kind. If the instance that announced itself as primary is lost before the first manifest, the survey repeats without end.

--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -47,6 +47,8 @@
 	log           []entry
 	conns         map[net.Conn]bool
 	heartbeatNext int
+	// registered is set once a heartbeat was acknowledged.
+	registered bool
 }
 
 // database is the service's group of instances.
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -314,6 +314,9 @@
 			return
 		}
 		if code, _ := f.call(to, http.MethodPut, "/-/instances/"+i.id, body); code/100 == 2 {
+			d.mutex.Lock()
+			i.registered = true
+			d.mutex.Unlock()
 			return
 		}
 		d.mutex.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -57,7 +57,8 @@
 
 // cases holds the scripts by name. Each returns an exit code.
 var cases = map[string]func(f *fleet, trouble string) int{
-	"recover": playRecover,
+	"recover":   playRecover,
+	"bootstrap": playBootstrap,
 }
 
 func main() {
@@ -99,10 +100,6 @@
 		record.say("the case could not start: %v", err)
 		return exitFailed
 	}
-	if err := f.begin(); err != nil {
-		record.say("the case could not start: %v", err)
-		return exitFailed
-	}
 	trouble := os.Getenv("TROUBLE")
 	if trouble == "" {
 		trouble = "1"
--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -25,6 +25,10 @@
 // after all are back, though a quarter or more was before. TROUBLE=crash and
 // TROUBLE=final do only one of the two.
 func playRecover(f *fleet, trouble string) int {
+	if err := f.begin(); err != nil {
+		f.record.say("the case could not start: %v", err)
+		return exitFailed
+	}
 	all, begin := startCallers(f), time.Now()
 	if !all.awaitServed() {
 		return exitFailed
