--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -229,7 +229,7 @@
 		return
 	}
 	if wrong {
-		fmt.Fprintf(c, "ERROR WRONGNODE %s\r\n", i.id)
+		fmt.Fprintf(c, "ERROR %s %s\r\n", names["wrong"], i.id)
 		return
 	}
 	fmt.Fprint(c, ready)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -23,7 +23,6 @@
 	platformPort = 8783
 	callerPort   = 8784
 	readyPort    = 8785
-	peerPort     = 7440
 )
 
 // Subnets of the addresses.
@@ -123,12 +122,12 @@
 			Service string `json:"service"`
 			ID      string `json:"id"`
 		}
-		fence, err := strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64)
+		fence, err := strconv.ParseUint(r.Header.Get(names["fence"]), 10, 64)
 		if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		w.WriteHeader(f.database.promote(body.ID, fence, r.Header.Get("X-Duty-Holder")))
+		w.WriteHeader(f.database.promote(body.ID, fence, r.Header.Get(names["holder"])))
 	})
 	go func() { _ = http.Serve(l, mux) }()
 	return nil
@@ -138,10 +137,10 @@
 func (f *fleet) writeSettings(p *process, zone string, bootstrap bool) error {
 	listen := map[string]string{"front": p.ip + ":" + strconv.Itoa(callerPort), "ready": p.ip + ":" + strconv.Itoa(readyPort)}
 	var data any
-	class, serves := "front", []string{"front"}
+	class, serves := "front", "front"
 	if p.control {
 		listen = map[string]string{"control": p.ip + ":" + strconv.Itoa(controlPort)}
-		class, serves = "core", []string{"control"}
+		class, serves = "core", "control"
 		p.data = filepath.Join(f.folder, p.name)
 		if err := os.MkdirAll(p.data, 0o700); err != nil {
 			return err
@@ -152,28 +151,11 @@
 	for n := range zoneCount {
 		seeds = append(seeds, f.ip(subnetControl, n)+":"+strconv.Itoa(controlPort))
 	}
-	text, err := json.Marshal(map[string]any{
-		"node_name": p.name, "role": class, "machine_class": class, "serves": serves, "ip": p.ip, "zone": zone, "region": "muscat",
-		"zones":        map[string]string{"muscat-a": "muscat", "muscat-b": "muscat", "muscat-c": "muscat"},
-		"listen_addrs": listen, "internal_ports": []int{peerPort, peerPort + 15}, "seeds": seeds, "bootstrap": bootstrap,
-		"loss_counted": p.control, "data_dir": data, "discovery": "registry", "entry_type": "vip", "heartbeat_ms": heartbeat.Milliseconds(),
-		"limits":          map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 128},
-		"contracts":       []string{"base", "drain", "config", "cost", "recover", "sql"},
-		"fault_tolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
-		"bounds": map[string]any{
-			"seed_lag_s": 3, "addr_reuse_s": 2, "stable_window_ms": 4000, "ack_ms": 5000, "catch_up_s": 4, "drain_ms": 7000,
-			"grace_s": 6, "loss_slack_ms": 200, "config_apply_ms": 3000, "rollback_slack_ms": 250, "max_stretch_ms": 12000,
-			"recovery_s": 12, "fencing_required": true, "thaw_ms": 300,
-		},
-		"config_mode": "highest",
-		"cloud_api":   map[string]any{"address": f.platformAddress(), "rate_per_s": 50.0, "duties": []string{"promotion"}, "duty_per_s": 50.0},
-	})
-	if err != nil {
-		return err
-	}
+	text := fill(settingsText, "NAME", p.name, "CLASS", class, "SERVES", serves, "IP", p.ip, "ZONE", zone, "LISTEN", asJSON(listen), "SEEDS", asJSON(seeds),
+		"BOOTSTRAP", strconv.FormatBool(bootstrap), "COUNTED", strconv.FormatBool(p.control), "DATA", asJSON(data), "PLATFORM", f.platformAddress())
 	p.settings = filepath.Join(f.folder, p.name+".json")
 	// A process never reads a part of the file.
-	if err := os.WriteFile(p.settings+".new", text, 0o600); err != nil {
+	if err := os.WriteFile(p.settings+".new", []byte(text), 0o600); err != nil {
 		return err
 	}
 	return os.Rename(p.settings+".new", p.settings)
@@ -188,7 +170,7 @@
 	defer log.Close()
 	c := exec.Command(f.program, "--platform", p.settings, "--balance-sites")
 	c.Stdout, c.Stderr = log, log
-	c.Env = append(os.Environ(), "KINGCUPKNOT_NODE_FILE="+p.settings)
+	c.Env = append(os.Environ(), names["file"]+"="+p.settings)
 	if err := c.Start(); err != nil {
 		return err
 	}
@@ -306,14 +288,14 @@
 			role = "primary"
 		}
 		i.sequence++
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"db_role":%q,"born":%d,"sequence":%d}`,
-			d.service, i.address, i.zone, slots, role, i.born, i.sequence)
+		body := fill(heartbeatText, "SERVICE", d.service, "ADDRESS", i.address, "ZONE", i.zone, "SLOTS", strconv.Itoa(slots), "ROLE", role,
+			"BORN", strconv.FormatInt(i.born, 10), "SEQUENCE", strconv.Itoa(i.sequence))
 		down, to := i.down, i.heartbeatNext
 		d.mutex.Unlock()
 		if down {
 			return
 		}
-		if code, _ := f.call(to, http.MethodPut, "/-/instances/"+i.id, body); code/100 == 2 {
+		if code, _ := f.call(to, http.MethodPut, names["instances"]+i.id, body); code/100 == 2 {
 			d.mutex.Lock()
 			i.registered = true
 			d.mutex.Unlock()
@@ -327,23 +309,13 @@
 
 // manifest returns a manifest with one route of each type.
 func (f *fleet) manifest(version int) string {
-	route := func(name, kind string, timeout, target, priority, age int) string {
-		staleness := ""
-		if age > 0 {
-			staleness = fmt.Sprintf(`,"max_staleness_ms":%d`, age)
-		}
-		return fmt.Sprintf(`{"name":"r-%s","host":%q,"path_prefix":"/","route_type":%q,"timeout_ms":%d,"target_latency_ms":%d,"priority":%d,"service":%q,"max_attempts":2%s}`,
-			name, name, kind, timeout, target, priority, f.database.service, staleness)
-	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":%q,"health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"sync_replicas":0}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000,"tx_idle_ms":3000}}`,
-		version, route("orders", "primary", 1000, 200, 1, 0), route("stock", "bounded_staleness", 2000, 600, 2, 1500), route("billets", "read_own_writes", 1000, 400, 2, 2500),
-		f.database.service)
+	return fill(manifestText, "VERSION", strconv.Itoa(version), "SERVICE", f.database.service)
 }
 
 // adopt sends a manifest until it is acknowledged.
 func (f *fleet) adopt(version int, within time.Duration) bool {
 	for end, n := time.Now().Add(within), 0; time.Now().Before(end); n++ {
-		if code, _ := f.call(n, http.MethodPut, "/-/config", f.manifest(version)); code == http.StatusOK {
+		if code, _ := f.call(n, http.MethodPut, names["config"], f.manifest(version)); code == http.StatusOK {
 			f.record.printf("operator: version %d is acknowledged", version)
 			return true
 		}
@@ -357,7 +329,7 @@
 func (f *fleet) pollReadiness() {
 	var ready []string
 	for _, p := range f.entries {
-		a, err := f.client.Get("http://" + p.ip + ":" + strconv.Itoa(readyPort) + "/-/readiness")
+		a, err := f.client.Get("http://" + p.ip + ":" + strconv.Itoa(readyPort) + names["readiness"])
 		ok := err == nil && a.StatusCode == http.StatusOK
 		if err == nil {
 			_ = a.Body.Close()
