--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -35,13 +35,16 @@
 
 // instance is one instance of the service. The database's mutex guards it.
 type instance struct {
-	database      *database
-	id            string
-	zone          string
-	address       string
-	listener      net.Listener
-	isPrimary     bool
-	down          bool
+	database  *database
+	id        string
+	zone      string
+	address   string
+	listener  net.Listener
+	isPrimary bool
+	down      bool
+	// dark is closed once the instance's machine has gone dark: nothing is answered
+	// any more, and connections to it hang.
+	dark          chan struct{}
 	born          int64
 	sequence      int
 	log           []entry
@@ -74,6 +77,7 @@
 		i := &instance{
 			database: d, id: fmt.Sprintf("i-%08x", 0x7f3a91c2+n), zone: zones[n], address: a,
 			isPrimary: n == 0, born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}, heartbeatNext: n,
+			dark: make(chan struct{}),
 		}
 		d.instances = append(d.instances, i)
 		if err := i.listen(); err != nil {
@@ -131,6 +135,27 @@
 	return i.listen()
 }
 
+// goDark makes the instance silent for good, as a machine without power is. No
+// connection is reset or refused.
+func (i *instance) goDark() {
+	d := i.database
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	i.down = true
+	close(i.dark)
+	d.record.printf("database: %s goes dark (primary %v, log at %s)", i.id, i.isPrimary, i.position())
+}
+
+// hangIfDark does not return while the instance's machine is dark, and so until the
+// end of the case.
+func (i *instance) hangIfDark() {
+	select {
+	case <-i.dark:
+		select {}
+	default:
+	}
+}
+
 // position returns the position of the log. The mutex must be held.
 func (i *instance) position() string {
 	term := 1
@@ -210,6 +235,7 @@
 	defer c.Close()
 	r := bufio.NewReader(c)
 	line, err := r.ReadString('\n')
+	i.hangIfDark()
 	words := strings.Fields(line)
 	d := i.database
 	d.mutex.Lock()
@@ -236,6 +262,7 @@
 	s := &upstreamSession{prepared: map[string]string{}}
 	for {
 		line, err := r.ReadString('\n')
+		i.hangIfDark()
 		if err != nil {
 			return
 		}
@@ -247,6 +274,7 @@
 			time.Sleep(workTime)
 		}
 		answer, ok := i.run(s, id, text)
+		i.hangIfDark()
 		if !ok {
 			return
 		}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
@@ -58,6 +59,10 @@
 	ready      []string
 	misses     map[string]int
 	listeners  []io.Closer
+	// starts are calls for the thread that starts all processes: each process ends
+	// with that thread. started is sent to after each.
+	starts  chan func()
+	started chan struct{}
 }
 
 const (
@@ -72,8 +77,18 @@
 
 func newFleet(program, folder string, r *recorder) (*fleet, error) {
 	f := &fleet{
-		program: program, folder: folder, net: 40 + os.Getpid()%180, record: r, stop: make(chan struct{}),
+		program: program, folder: folder, record: r, stop: make(chan struct{}),
 		client: http.Client{Timeout: controlCallTime}, misses: map[string]int{},
+		starts: make(chan func()), started: make(chan struct{}),
+	}
+	go func() {
+		runtime.LockOSThread()
+		for start := range f.starts {
+			start()
+		}
+	}()
+	if err := f.startPlatform(); err != nil {
+		return nil, err
 	}
 	var addresses, zones []string
 	for n := range zoneCount {
@@ -84,9 +99,6 @@
 	if f.database, err = newDatabase("tonewood", addresses, zones, r); err != nil {
 		return nil, err
 	}
-	if err := f.startPlatform(); err != nil {
-		return nil, err
-	}
 	for n := range zoneCount {
 		f.control = append(f.control, &process{name: "core-" + f.zone(n), ip: f.ip(subnetControl, n), control: true})
 	}
@@ -109,9 +121,16 @@
 	return net.JoinHostPort(f.ip(subnetPlatform, 0), strconv.Itoa(platformPort))
 }
 
-// startPlatform serves POST /promotion.
+// startPlatform takes loopback addresses that no other case uses, and serves POST
+// /promotion.
 func (f *fleet) startPlatform() error {
-	l, err := net.Listen("tcp", f.platformAddress())
+	const firstNet, nets = 40, 180
+	var l net.Listener
+	err := errors.New("no free addresses")
+	for n := 0; n < nets && err != nil; n++ {
+		f.net = firstNet + (os.Getpid()+n)%nets
+		l, err = net.Listen("tcp", f.platformAddress())
+	}
 	if err != nil {
 		return err
 	}
@@ -171,7 +190,11 @@
 	c := exec.Command(f.program, "--platform", p.settings, "--balance-sites")
 	c.Stdout, c.Stderr = log, log
 	c.Env = append(os.Environ(), names["file"]+"="+p.settings)
-	if err := c.Start(); err != nil {
+	// No process is left over if the case itself is killed.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	f.starts <- func() { err = c.Start(); f.started <- struct{}{} }
+	<-f.started
+	if err != nil {
 		return err
 	}
 	p.command, p.exited = c, make(chan struct{})
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -58,6 +58,7 @@
 // cases holds the scripts by name. Each returns an exit code.
 var cases = map[string]func(f *fleet, trouble string) int{
 	"recover":   playRecover,
+	"dark":      playDark,
 	"bootstrap": playBootstrap,
 }
 
--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -59,6 +59,12 @@
 	} else {
 		time.Sleep(controlDown)
 	}
+	return f.judgeRecovery(all, begin, fault)
+}
+
+// judgeRecovery is called when all machines are back. It returns the exit code by the
+// rule RECOVER.
+func (f *fleet) judgeRecovery(all *callers, begin, fault time.Time) int {
 	back := time.Now()
 	time.Sleep(recoveryTime)
 	from := time.Now()
