node: log which epochs an entry gives up

The log of an entry did not show that it gave up an epoch, nor that it ignored a lease, so a lost lease, a revoked one and an ignored one looked alike. A lease of a given-up epoch is counted as leases-ignored.

--- a/node/entry_lease.go
+++ b/node/entry_lease.go
@@ -38,7 +38,11 @@
 		e.resetPromotedPrimary(s, p.Ready && !s.primary.Ready)
 		s.primary = p
 	}
-	if l.Length <= 0 || !p.Ready || p.Epoch <= s.fencedEpoch || p.Epoch <= s.drainingEpoch {
+	if l.Length <= 0 || !p.Ready {
+		return
+	}
+	if p.Epoch <= s.fencedEpoch || p.Epoch <= s.drainingEpoch {
+		e.increment("leases-ignored")
 		return
 	}
 	until := sent.Add(l.Length - e.options.Timings.MaxDrift)
@@ -111,7 +115,7 @@
 func (e *Entry) handleRevoke(from catalog.VMID, v wire.Revoke) {
 	s := e.service(v.Service)
 	if !v.Drain || v.Epoch <= s.fencedEpoch {
-		e.fence(s, v.Epoch)
+		e.fence(s, v.Epoch, from)
 		e.sendFenced(s, from, v.Epoch)
 		return
 	}
@@ -126,14 +130,19 @@
 	s.drainRequesters = append(s.drainRequesters, from)
 }
 
-// fence permanently gives up the leases of an epoch and of all earlier ones.
-func (e *Entry) fence(s *entryService, epoch catalog.Epoch) {
+// fence permanently gives up the leases of an epoch and of all earlier ones, as
+// the given control VM has requested.
+func (e *Entry) fence(s *entryService, epoch catalog.Epoch, requester catalog.VMID) {
 	if epoch <= s.fencedEpoch {
 		return
 	}
 	s.fencedEpoch = epoch
 	e.closeTransactions(s, epoch)
 	e.increment("leases-revoked")
+	e.emit(Log{Part: "entry", Text: "Gave up the leases of an epoch.", Pairs: []string{
+		"service", string(s.id), "epoch", strconv.FormatUint(uint64(epoch), 10), "requester", string(requester),
+		"leader", string(e.report.leader),
+	}})
 }
 
 func (e *Entry) sendFenced(s *entryService, to catalog.VMID, epoch catalog.Epoch) {
@@ -148,7 +157,7 @@
 	hasLease := e.leaseValid(s, s.primary.Epoch, e.now)
 	if len(s.drainRequesters) > 0 {
 		if !hasLease || !s.hasWorkUpToEpoch(s.drainingEpoch) {
-			e.fence(s, s.drainingEpoch)
+			e.fence(s, s.drainingEpoch, s.drainRequesters[0])
 			for _, vm := range s.drainRequesters {
 				e.sendFenced(s, vm, s.drainingEpoch)
 			}
