tests: end connections whose opening was lost in a cut

In the model of the system, an upstream that accepted a connection while the answer was lost in a network cut left the entry with a connection that opens for good: the deadline looked at the upstream's side. It now looks at what the entry knows, as a real dial does, which is stricter for the upstream's limits too.

--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -53,6 +53,8 @@
 		instance    *instance
 		incarnation uint64
 		opened      bool
+		// established is set once the entry knows that the connection is open.
+		established bool
 		closed      bool
 		// request is the request that runs on the connection, zero if none.
 		request catalog.RequestID
@@ -208,7 +210,7 @@
 	c := &conn{instance: u, incarnation: u.incarnation}
 	w.conns[k] = c
 	w.schedule(w.untilLocal(p, v.Deadline), func() {
-		if !c.opened {
+		if !c.established {
 			w.loseConn(k, p, wire.EvidenceTimeout)
 		}
 	})
@@ -225,7 +227,12 @@
 			u.openConns++
 			w.notifyBegin(p, u, 0)
 			u.maxOpenConns = max(u.maxOpenConns, u.openConns)
-			w.sendToProcess(p, incarnation, u, node.ConnOpened{Conn: v.Conn})
+			w.schedule(w.latency(p.site, u.site), func() {
+				if !w.isCut(p.site, u.site) && !c.closed {
+					c.established = true
+					w.handle(p, incarnation, node.ConnOpened{Conn: v.Conn})
+				}
+			})
 		}
 	})
 }
