node: begin a new epoch if entries have given up that of a ready primary

Cause: an entry gives up an epoch for good when a leader revokes it, or begins to drain it. Only that leader's memory says that an election must follow. The next leader finds the epoch ready in the agreed state and the primary alive, and grants leases that all entries ignore.

Change: a report lists the services whose primary's epoch the entry accepts no leases of. A leader that finds a ready primary among them begins a failover of a new kind: entries complete writes in progress and give up the epoch, the survey waits for the primary's answer for the suspicion timeout, and the primary is elected again if it answers.

Why this is safe: an entry still ignores all leases of a given-up epoch, so nothing is written in it again. The new epoch is elected only after every lease of the old one was given up or ran out, those of earlier leaders included, as in any other failover. Leaving the epoch and clearing the fence instead would let a write of the old epoch be acknowledged beside a later election. Peers of earlier builds are not sent the new field.

The check of epochs fails if entries keep leases that they gave up (TestChangeDetectsLeasesAfterTheFence).

--- a/link/features_test.go
+++ b/link/features_test.go
@@ -72,16 +72,19 @@
 // A peer that names no features ends the connection at a field that it doesn't know,
 // so it must not be sent the fields that it can do without.
 func TestPeersGetWhatTheyKnow(t *testing.T) {
-	report := wire.Message{Report: &wire.Report{VM: "e1", Work: []wire.ServiceWork{{Service: "a", Asked: 1}}}}
+	report := wire.Message{Report: &wire.Report{VM: "e1", Work: []wire.ServiceWork{{Service: "a", Asked: 1}}, SpentEpochs: []wire.ServiceEpoch{{Service: "a", Epoch: 1}}}}
 	answer := wire.Message{Answer: &wire.Answer{Leader: "c1", SiteShares: []wire.SiteShare{{Service: "a"}}}}
 	if m := report.ForPeer(nil); m.Report.Work != nil || report.Report.Work == nil {
 		t.Error("an earlier build was sent the work of services")
 	}
+	if m := report.ForPeer(nil); m.Report.SpentEpochs != nil || report.Report.SpentEpochs == nil {
+		t.Error("an earlier build was sent spent epochs")
+	}
 	if m := answer.ForPeer(nil); m.Answer.SiteShares != nil || answer.Answer.SiteShares == nil {
 		t.Error("an earlier build was sent shares of sites")
 	}
-	if m := report.ForPeer(wire.OwnFeatures()); m.Report.Work == nil {
-		t.Error("a build with the feature was not sent the work of services")
+	if m := report.ForPeer(wire.OwnFeatures()); m.Report.Work == nil || m.Report.SpentEpochs == nil {
+		t.Error("a build with the feature was not sent the work of services and spent epochs")
 	}
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -93,6 +93,12 @@
 	joinRequests map[catalog.VMID]catalog.Incarnation
 	// observations holds what each entry last observed of each upstream.
 	observations map[catalog.InstanceID]map[catalog.VMID]observation
+	// spentEpochs holds the highest epoch of each service for which an entry has
+	// reported that it accepts no leases any more. A leader that ends between the
+	// fence and the election leaves such an epoch behind as that of a ready
+	// primary. Invariant: the way on is an election, which waits for all leases of
+	// the epoch; no entry is asked to accept leases of the epoch again.
+	spentEpochs map[catalog.ServiceID]catalog.Epoch
 	// lateUntil is until when no observation counts as this VM was late.
 	lateUntil catalog.Instant
 	// suspectUntil holds until when every sweep checks a suspected service.
@@ -189,6 +195,7 @@
 	c.surveyed = map[catalog.ServiceID]bool{}
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
+	c.spentEpochs = map[catalog.ServiceID]catalog.Epoch{}
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
 	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt, c.lateUntil = 0, 0, 0, 0
 	c.resetLimits()
--- a/node/control_failover.go
+++ b/node/control_failover.go
@@ -15,6 +15,7 @@
 	failoverBootstrap                     // the service has no primary yet
 	failoverLeaving                       // the primary is leaving or drained
 	failoverSwitch                        // an operator requested the change
+	failoverRenewal                       // entries have given up the epoch; the primary stays if it answers
 )
 
 // phase is the current step of a failover.
@@ -127,7 +128,7 @@
 		held = true
 		if send {
 			c.emit(SendMessage{To: vm, Message: wire.Message{Revoke: &wire.Revoke{
-				Service: s.ID, Epoch: f.epoch, Drain: f.kind == failoverLeaving || f.kind == failoverSwitch,
+				Service: s.ID, Epoch: f.epoch, Drain: f.completesWrites(),
 			}}})
 		}
 	}
@@ -141,6 +142,13 @@
 	c.survey(s, f)
 }
 
+// completesWrites reports whether entries may complete the writes in progress
+// before they give up their leases. They may while the primary is not taken for
+// dead.
+func (f *failover) completesWrites() bool {
+	return f.kind == failoverLeaving || f.kind == failoverSwitch || f.kind == failoverRenewal
+}
+
 // handleFenceAck removes the lease that an entry has given up.
 func (c *Control) handleFenceAck(m wire.FenceAck) {
 	v := c.entries[m.VM]
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -111,7 +111,7 @@
 	for _, a := range r.Announcements {
 		c.handleAnnouncement(a)
 	}
-	suspects := c.recordObservations(from, r.Observations)
+	suspects := append(c.recordObservations(from, r.Observations), c.recordSpentEpochs(from, r.SpentEpochs)...)
 	if !r.DemandsUnchanged {
 		c.updateDemands(from, v, r.Demands)
 	}
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -157,6 +157,9 @@
 // surveySuffices reports whether the eligible answers include every write that
 // replicas must hold, and whether no better answer can be expected soon.
 func (c *Control) surveySuffices(s catalog.Service, f *failover, oldPrimary catalog.InstanceID) bool {
+	if c.awaitsOldPrimary(f, oldPrimary) {
+		return false
+	}
 	if f.kind != failoverBootstrap && (len(c.eligibleInstances(s, f)) < minAnswers(s) || !c.coversSyncWrites(s, f, oldPrimary)) {
 		return false
 	}
@@ -171,6 +174,13 @@
 	return true
 }
 
+// awaitsOldPrimary reports whether a renewal must wait for the answer of the
+// primary. The primary is most likely healthy, and a replica may lack writes.
+func (c *Control) awaitsOldPrimary(f *failover, oldPrimary catalog.InstanceID) bool {
+	_, hasAnswered := f.answers[oldPrimary]
+	return f.kind == failoverRenewal && !hasAnswered && c.now.Before(f.phaseStartedAt.Add(c.options.Timings.SuspectTimeout))
+}
+
 // chooseTarget returns the instance to elect, empty if there is none.
 func (c *Control) chooseTarget(s catalog.Service, f *failover, oldPrimary catalog.InstanceID) catalog.InstanceID {
 	switch f.kind {
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -35,6 +35,8 @@
 		c.startFailover(s, p, failoverUnplanned, "")
 	case c.isPrimaryLeaving(p):
 		c.startFailover(s, p, failoverLeaving, "")
+	case c.spentEpochs[s.ID] >= p.Epoch:
+		c.startFailover(s, p, failoverRenewal, "")
 	}
 }
 
--- a/node/entry_expect_test.go
+++ b/node/entry_expect_test.go
@@ -66,6 +66,8 @@
 		got, args = strings.ReplaceAll(w.answers[request(args[1])].Reason, " ", "-"), args[1:]
 	case "version":
 		got = fmt.Sprint(w.entry.version)
+	case "spent":
+		got = fmt.Sprint(w.spentEpoch)
 	case "stopped":
 		got = map[bool]string{true: "yes", false: "no"}[w.stopped]
 	default:
--- a/node/entry_fake_test.go
+++ b/node/entry_fake_test.go
@@ -44,15 +44,17 @@
 	controlSilent bool
 	leases        map[catalog.Epoch]catalog.Instant
 	fenced        catalog.Epoch
-	grants        map[catalog.InstanceID][]fakeGrant
-	settings      wire.Answer
-	trace         []string
-	violations    []string
-	sent          []string
-	probes        map[catalog.InstanceID]int
-	verified      map[catalog.RequestID]int
-	stopped       bool
-	peers         map[catalog.VMID]*fakePeer
+	// spentEpoch is the epoch that the last report gave as spent, zero if none.
+	spentEpoch catalog.Epoch
+	grants     map[catalog.InstanceID][]fakeGrant
+	settings   wire.Answer
+	trace      []string
+	violations []string
+	sent       []string
+	probes     map[catalog.InstanceID]int
+	verified   map[catalog.RequestID]int
+	stopped    bool
+	peers      map[catalog.VMID]*fakePeer
 	// onRead, if set, is called with a read and the position of the upstream
 	// that answered it.
 	onRead func(RequestArrived, catalog.Position)
--- a/node/entry_lease.go
+++ b/node/entry_lease.go
@@ -41,7 +41,7 @@
 	if l.Length <= 0 || !p.Ready {
 		return
 	}
-	if p.Epoch <= s.fencedEpoch || p.Epoch <= s.drainingEpoch {
+	if s.isEpochSpent() {
 		e.increment("leases-ignored")
 		return
 	}
@@ -55,6 +55,13 @@
 	}
 }
 
+// isEpochSpent reports whether the entry accepts no leases of its primary's epoch
+// any more, because it has given up that epoch or is about to.
+func (s *entryService) isEpochSpent() bool {
+	epoch := s.primary.Epoch
+	return epoch != 0 && epoch <= max(s.fencedEpoch, s.drainingEpoch)
+}
+
 // renewLeases extends the leases of all subscribed services. It may be called
 // only if the primaries that control has on record match those known here.
 func (e *Entry) renewLeases(length time.Duration, sent catalog.Instant) {
--- a/node/entry_report.go
+++ b/node/entry_report.go
@@ -173,6 +173,9 @@
 	for _, s := range e.report.services {
 		if s.isSubscribed {
 			m.Services = append(m.Services, s.id)
+			if s.isEpochSpent() {
+				m.SpentEpochs = append(m.SpentEpochs, wire.ServiceEpoch{Service: s.id, Epoch: s.primary.Epoch})
+			}
 		}
 		for _, i := range s.instances {
 			if s.isObserved && s.accepted {
--- a/node/entry_state.go
+++ b/node/entry_state.go
@@ -64,8 +64,9 @@
 	// leaseEpoch and leaseUntil are the epoch and the end of the newest lease.
 	leaseEpoch catalog.Epoch
 	leaseUntil catalog.Instant
-	// fencedEpoch is the highest epoch that was fenced. Invariant: no write of
-	// that epoch or a lower one is acknowledged afterwards.
+	// fencedEpoch is the highest epoch that was fenced. Invariant: it never
+	// decreases, and no write of that epoch or a lower one is acknowledged
+	// afterwards.
 	fencedEpoch catalog.Epoch
 	// drainingEpoch is the epoch in which no new work starts while running work
 	// completes, zero if there is none. drainRequesters are the control VMs to
--- a/node/entry_world_test.go
+++ b/node/entry_world_test.go
@@ -52,6 +52,10 @@
 
 func (w *fakeWorld) report(m wire.Report) {
 	sent := w.now
+	w.spentEpoch = 0
+	for _, x := range m.SpentEpochs {
+		w.spentEpoch = x.Epoch
+	}
 	for _, x := range m.Demands {
 		if x.Held > w.heldConns(x.Instance) {
 			w.addViolation("%s: reported %d held, %d are open", x.Instance, x.Held, w.heldConns(x.Instance))
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -89,3 +89,19 @@
 	}
 	return out
 }
+
+// DisableFence makes an entry keep the leases that it has given up.
+func (e *Entry) DisableFence() {
+	e.leaseValid = func(s *entryService, epoch catalog.Epoch, now catalog.Instant) bool {
+		return epoch != 0 && epoch == s.leaseEpoch && now.Before(s.leaseUntil)
+	}
+}
+
+// RequestEpoch returns the epoch under which a request runs, zero if it does not run
+// at a primary.
+func (e *Entry) RequestEpoch(id catalog.RequestID) catalog.Epoch {
+	if r := e.requests[id]; r != nil && r.atPrimary {
+		return r.epoch
+	}
+	return 0
+}
--- a/node/system_history_test.go
+++ b/node/system_history_test.go
@@ -52,7 +52,8 @@
 }
 
 // sendNext sends the next operation of a session. A session may have a second
-// connection that only reads.
+// connection that only reads. There are no reads if upstreams are listed by control,
+// because package session then determines their floors.
 func (c *callers) sendNext(session int, second bool) {
 	w := c.w
 	if w.now > c.until {
@@ -66,7 +67,7 @@
 	}
 	op := &operation{
 		id: catalog.RequestID(len(c.ops) + 1), session: session, key: fmt.Sprint("k", session),
-		isWrite: !second && w.rng.IntN(2) == 0, startedAt: w.now, entry: p, result: -1, isSecondConn: second,
+		isWrite: w.isListed || !second && w.rng.IntN(2) == 0, startedAt: w.now, entry: p, result: -1, isSecondConn: second,
 	}
 	op.minValue = c.lastOwnWrite(session, math.MaxInt)
 	c.ops = append(c.ops, op)
--- a/wire/feature.go
+++ b/wire/feature.go
@@ -55,16 +55,16 @@
 
 // ForPeer returns the message without the fields that would make a peer with these
 // features end the connection, and without which it works: those for the shares of
-// sites. Builds without features know either all other fields or no deployment that
+// sites and for spent epochs. Builds without features know either all other fields or no deployment that
 // needs them.
 func (m Message) ForPeer(f Features) Message {
 	if f.Has(FeatureUnknownFields) {
 		return m
 	}
 	switch {
-	case m.Report != nil && len(m.Report.Work) > 0:
+	case m.Report != nil && len(m.Report.Work)+len(m.Report.SpentEpochs) > 0:
 		r := *m.Report
-		r.Work = nil
+		r.Work, r.SpentEpochs = nil, nil
 		m.Report = &r
 	case m.Answer != nil && len(m.Answer.SiteShares) > 0:
 		a := *m.Answer
--- a/wire/message.go
+++ b/wire/message.go
@@ -126,6 +126,16 @@
 	// EntryCount is the EntryCount of the last answer that had one. It is zero
 	// if there was none or if there are no organisations.
 	EntryCount int `cbor:"18,keyasint,omitempty"`
+	// SpentEpochs lists the services whose primary the entry knows, but in an
+	// epoch for which it accepts no leases any more. It can serve them again only
+	// in a higher epoch.
+	SpentEpochs []ServiceEpoch `cbor:"19,keyasint,omitempty"`
+}
+
+// ServiceEpoch is an epoch of a service's primary.
+type ServiceEpoch struct {
+	Service catalog.ServiceID `cbor:"1,keyasint"`
+	Epoch   catalog.Epoch     `cbor:"2,keyasint"`
 }
 
 // UpstreamsMark identifies a revision of one leader's list of upstreams.
--- a/wire/report.go
+++ b/wire/report.go
@@ -8,6 +8,7 @@
 	announcementSize = 120
 	usageSize        = 14
 	workSize         = 8
+	spentEpochSize   = 6
 )
 
 // ApproximateSize returns about how many bytes the encoded report has. It is
@@ -29,6 +30,9 @@
 	for _, w := range r.Work {
 		n += workSize + len(w.Service)
 	}
+	for _, x := range r.SpentEpochs {
+		n += spentEpochSize + len(x.Service)
+	}
 	return n + announcementSize*len(r.Announcements)
 }
 
