node: ask the primary again when a planned change is given up

When no replica caught up within 2 s, a planned change became an unplanned one, which does not wait for the primary's answer. If the replicas had answered and the healthy primary had not, a replica without its last writes was elected, against the function's own comment.

Change: the change becomes a renewal of the epoch, with a new survey that waits for the primary's answer for the suspicion timeout.

Evidence: TestGivenUpChangeKeepsThePrimary elects b instead of a without the change.

--- a/node/control_failover.go
+++ b/node/control_failover.go
@@ -166,10 +166,10 @@
 	}
 }
 
-// giveUpPlannedChange turns a planned change into an unplanned one if no
+// giveUpPlannedChange turns a planned change into a renewal of the epoch if no
 // replica caught up in time. The old primary is then elected again if it
-// responds, otherwise another instance. It always returns false, because the
-// survey phase continues.
+// responds to a new survey, otherwise another instance. It always returns false,
+// because the survey phase continues.
 func (c *Control) giveUpPlannedChange(s catalog.Service, f *failover) bool {
 	planned := f.kind == failoverSwitch || f.kind == failoverLeaving
 	if !planned || c.now.Before(f.catchUpDeadline) {
@@ -179,6 +179,7 @@
 		c.emit(AnswerCommand{Number: f.commandNumber, Reply: Reply{Code: ReplyConflict, Version: c.state.Version, Text: switchFailedText}})
 		f.commandNumber = 0
 	}
-	f.kind, f.target = failoverUnplanned, ""
+	f.kind, f.target = failoverRenewal, ""
+	c.enterPhase(s, f, phaseSurvey)
 	return false
 }
--- a/node/control_spent_test.go
+++ b/node/control_spent_test.go
@@ -19,6 +19,27 @@
 	}}})
 }
 
+// TestGivenUpChangeKeepsThePrimary guards against a planned change that is given up and then elects a replica that lacks writes, because the answer of the healthy primary comes last.
+func TestGivenUpChangeKeepsThePrimary(t *testing.T) {
+	Convey("a primary whose answer is late stays when no replica has caught up in time", t, func() {
+		o := newControlHarness(t, catalog.AckPrimary)
+		o.setUpLeases()
+		o.feed(CommandReceived{Number: 7, Command: Command{Switch: &SwitchPrimary{Service: "ledger"}}})
+		for vm := range harnessEntries {
+			o.fence(vm)
+		}
+		o.advance(catchUpTimeout - 100*ms)
+		position := o.positions["a"]
+		delete(o.positions, "a")
+		o.advance(300 * ms)
+		o.positions["a"] = position
+		o.advance(300 * ms)
+		So(o.primary().Instance, ShouldEqual, catalog.InstanceID("a"))
+		So(o.primary().Epoch, ShouldEqual, catalog.Epoch(2))
+		So(o.primary().Ready, ShouldBeTrue)
+	})
+}
+
 // TestSpentEpochIsRenewed guards against an epoch that entries gave up to a leader
 // which ended before the election: later leaders must begin a new one.
 func TestSpentEpochIsRenewed(t *testing.T) {
