node: replace a primary that no entry has heard since it started

Cause: silence counted from when an entry had last heard the primary, and with no such moment a primary was never down. After a restart of all entries there is none, whether control restarts as well or not. A restart of control alone is no problem, as entries report ages.

Change: without such a moment, silence is counted from the first failure in a row that each entry reported to this leader. Entries of two sites must have failed for the suspicion timeout, and control's own query of the primary must fail, since an entry that has just started may be too busy to reach a healthy primary. If control is answered, the primary is replaced only when it has been out of the entries' reach for as long as an announcement counts (4 s on the platform). What an entry observed before its restart does not count any more, nor do failures across a gap in its reports.

--- a/node/control.go
+++ b/node/control.go
@@ -99,6 +99,10 @@
 	// primary. Invariant: the way on is an election, which waits for all leases of
 	// the epoch; no entry is asked to accept leases of the epoch again.
 	spentEpochs map[catalog.ServiceID]catalog.Epoch
+	// primaryQueries holds the last queries to primaries that no entry has heard,
+	// and nextQueryAt is when the next one may be sent.
+	primaryQueries map[catalog.InstanceID]*primaryQuery
+	nextQueryAt    catalog.Instant
 	// lateUntil is until when no observation counts as this VM was late.
 	lateUntil catalog.Instant
 	// suspectUntil holds until when every sweep checks a suspected service.
@@ -196,6 +200,7 @@
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.spentEpochs = map[catalog.ServiceID]catalog.Epoch{}
+	c.primaryQueries, c.nextQueryAt = map[catalog.InstanceID]*primaryQuery{}, 0
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
 	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt, c.lateUntil = 0, 0, 0, 0
 	c.resetLimits()
--- a/node/control_entries.go
+++ b/node/control_entries.go
@@ -29,9 +29,7 @@
 	for id := range v.leases {
 		c.leaseHolders.remove(id, vm)
 	}
-	for _, byEntry := range c.observations {
-		delete(byEntry, vm)
-	}
+	c.dropObservations(vm)
 	for id, byEntry := range c.allocations {
 		if byEntry[vm] != nil {
 			c.allocationRevisions[id]++
@@ -40,6 +38,13 @@
 	}
 }
 
+// dropObservations removes what an entry has observed.
+func (c *Control) dropObservations(vm catalog.VMID) {
+	for _, byEntry := range c.observations {
+		delete(byEntry, vm)
+	}
+}
+
 const (
 	forgetAfter = time.Minute
 	// membersInterval is the time between two lists of the control VMs sent to
--- a/node/control_report.go
+++ b/node/control_report.go
@@ -98,6 +98,9 @@
 	if r.Incarnation != v.incarnation {
 		// What was sent to the entry before its restart does not arrive any more.
 		v.sentArrivesAt, v.upstreamsArriveAt, v.preferred, v.settingsTransfer = 0, 0, nil, 0
+		if v.incarnation != 0 {
+			c.dropObservations(from)
+		}
 		c.limits.allocator.DropShares(from)
 	}
 	if r.IsSearch() {
@@ -166,8 +169,14 @@
 		if c.observations[o.Instance] == nil {
 			c.observations[o.Instance] = map[catalog.VMID]observation{}
 		}
+		if recorded.isFailing() {
+			recorded.failingSince = c.now
+			if last := c.observations[o.Instance][vm]; last.isFailing() && c.now.Sub(last.reportedAt) <= evidenceReportIntervals*c.options.Timings.ReportInterval {
+				recorded.failingSince = last.failingSince
+			}
+		}
 		c.observations[o.Instance][vm] = recorded
-		if o.Evidence == wire.EvidenceRefused || o.Evidence == wire.EvidenceTimeout {
+		if recorded.isFailing() {
 			c.markSuspect(o.Service)
 			suspects = append(suspects, o.Service)
 		}
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -62,6 +62,7 @@
 }
 
 func (c *Control) handleSurveyDone(v SurveyDone) {
+	c.recordQueryAnswer(v)
 	u := c.upstreams[v.Instance]
 	if u == nil {
 		return
--- /dev/null
+++ b/node/control_suspicion.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"time"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// minSuspectingSites is how many sites must observe that a primary is down, or
+// all sites if fewer report.
+const minSuspectingSites = 2
+
+// evidenceReportIntervals is how many report intervals may pass without a report
+// of an entry before its observations are ignored.
+const evidenceReportIntervals = 4
+
+// primaryEvidence is what the entries that reported recently have observed of a
+// primary.
+type primaryEvidence struct {
+	// reporting are the sites with an observation, and refused those whose last
+	// attempt was refused.
+	reporting, refused map[catalog.SiteID]bool
+	// lastAlive is when the primary last responded to any of the entries, zero if
+	// it has responded to none since they started.
+	lastAlive, lastRefused catalog.Instant
+	// failingSince holds, for each site with an entry whose last attempt failed,
+	// since when the attempts of one of its entries have been failing.
+	failingSince map[catalog.SiteID]catalog.Instant
+}
+
+// required returns how many sites must agree that the primary is down, zero if none
+// has an observation.
+func (x *primaryEvidence) required() int {
+	return min(minSuspectingSites, len(x.reporting))
+}
+
+// isFailingFor reports whether the attempts of enough sites have been failing for a
+// time.
+func (x *primaryEvidence) isFailingFor(d time.Duration, now catalog.Instant) bool {
+	sites := 0
+	for _, since := range x.failingSince {
+		if now.Sub(since) >= d {
+			sites++
+		}
+	}
+	return sites >= x.required()
+}
+
+func (c *Control) gatherEvidence(id catalog.InstanceID) *primaryEvidence {
+	t := c.options.Timings
+	// Reports from before this VM was late don't count any more.
+	lateAt := c.lateUntil.Add(-lateReportIntervals * t.ReportInterval)
+	x := &primaryEvidence{
+		reporting: map[catalog.SiteID]bool{}, refused: map[catalog.SiteID]bool{}, failingSince: map[catalog.SiteID]catalog.Instant{},
+	}
+	for vm, o := range c.observations[id] {
+		v := c.entries[vm]
+		if v == nil || c.now.Sub(v.reportedAt) > evidenceReportIntervals*t.ReportInterval || v.reportedAt.Before(lateAt) {
+			continue
+		}
+		x.reporting[v.site] = true
+		x.lastAlive = max(x.lastAlive, v.lastAliveAt(o))
+		if o.evidence == wire.EvidenceRefused && o.gatheredAt >= o.aliveAt {
+			x.refused[v.site] = true
+			x.lastRefused = max(x.lastRefused, o.gatheredAt)
+		}
+		if o.isFailing() {
+			if since, ok := x.failingSince[v.site]; !ok || o.failingSince.Before(since) {
+				x.failingSince[v.site] = o.failingSince
+			}
+		}
+	}
+	return x
+}
+
+// isPrimaryDown decides from the entries' observations whether a primary is
+// down. The observations of a single site do not suffice while other sites
+// report. Refusals do not count if any entry reached the primary after them.
+func (c *Control) isPrimaryDown(p catalog.Primary) bool {
+	t := c.options.Timings
+	if c.now.Before(c.lateUntil) {
+		return false
+	}
+	x := c.gatherEvidence(p.Instance)
+	switch {
+	case x.required() == 0:
+		return false
+	case len(x.refused) >= x.required() && x.lastAlive <= x.lastRefused:
+		return true
+	case len(x.failingSince) < x.required():
+		return false
+	case x.lastAlive != 0:
+		return c.now.Sub(x.lastAlive) >= t.SuspectTimeout
+	}
+	// No entry has heard the primary since it started, as after a restart of all
+	// entries, so how long the primary has been silent is not known from it.
+	if c.isSilentToControl(p) {
+		return x.isFailingFor(t.SuspectTimeout, c.now)
+	}
+	return x.isFailingFor(t.AnnouncementTTL, c.now)
+}
+
+// primaryQuery is a query of control itself to a primary that no entry has heard.
+type primaryQuery struct {
+	survey uint64
+	// endsAt is when the query was answered or failed, its deadline before that.
+	endsAt      catalog.Instant
+	hasAnswered bool
+}
+
+// queryInterval bounds the rate at which primaries are queried when the entries of a
+// large fleet start.
+const queryInterval = 5 * time.Millisecond
+
+// isSilentToControl reports whether control's own query to a primary has recently
+// failed, and starts one if there is none. An entry that has just started may fail to
+// reach a healthy primary because it is short of processor time.
+func (c *Control) isSilentToControl(p catalog.Primary) bool {
+	u := c.upstreams[p.Instance]
+	if u == nil {
+		return true
+	}
+	q := c.primaryQueries[p.Instance]
+	if q != nil && c.now.Before(q.endsAt.Add(c.options.Timings.SuspectTimeout)) {
+		return !q.hasAnswered && !c.now.Before(q.endsAt)
+	}
+	if c.now.Before(c.nextQueryAt) {
+		return false
+	}
+	c.nextQueryAt = c.now.Add(queryInterval)
+	deadline := c.now.Add(c.options.Timings.SuspectTimeout)
+	c.primaryQueries[p.Instance] = &primaryQuery{survey: c.surveyUpstream(u, deadline), endsAt: deadline}
+	return false
+}
+
+// recordQueryAnswer stores the outcome of a query to a primary.
+func (c *Control) recordQueryAnswer(v SurveyDone) {
+	if q := c.primaryQueries[v.Instance]; q != nil && q.survey == v.Survey {
+		q.endsAt, q.hasAnswered = c.now, v.Evidence == wire.EvidenceAlive
+	}
+}
--- /dev/null
+++ b/node/control_suspicion_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/kingcupknot/kingcupknot/catalog"
+	"github.com/kingcupknot/kingcupknot/quorum"
+	"github.com/kingcupknot/kingcupknot/registry"
+	"github.com/kingcupknot/kingcupknot/wire"
+)
+
+// restartedControl is a control VM that leads after a restart and knows from the
+// agreed state that a is the ready primary of orders. Its entries have just started.
+type restartedControl struct {
+	*soloControl
+	sequence uint64
+	// answers is set while the primary answers control's own queries.
+	answers bool
+	asked   int
+}
+
+func newRestartedControl(t *testing.T, upstreams ...catalog.Announcement) *restartedControl {
+	t.Helper()
+	self := quorum.Member{VM: "c1", Incarnation: 1, Voter: true}
+	state := registry.New()
+	state.Version, state.Services = 1, []catalog.Service{{ID: "orders", Instances: 2}}
+	state.Primaries = []catalog.Primary{{Service: "orders", Epoch: 4, Instance: "a", Term: 3, Ready: true}}
+	state.Upstreams = upstreams
+	data, err := state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &restartedControl{soloControl: startSoloControl(quorum.PersistentState{Self: self, Snapshot: quorum.Snapshot{Index: 1, Ballot: 1, Members: []quorum.Member{self}, Data: data}})}
+	for !w.control.isLeader || w.now.Before(w.control.graceEndsAt) {
+		w.advance(10 * time.Millisecond)
+	}
+	return w
+}
+
+// runReports lets time pass in which all entries report the same evidence.
+func (w *restartedControl) runReports(d time.Duration, incarnation uint64, evidence map[catalog.VMID]wire.Evidence) {
+	for end := w.now.Add(d); w.now.Before(end); w.advance(20 * time.Millisecond) {
+		w.sequence++
+		for vm, site := range harnessEntries {
+			r := &wire.Report{VM: vm, Site: site, Incarnation: incarnation, Sequence: w.sequence, Services: []catalog.ServiceID{"orders"}}
+			if x, ok := evidence[vm]; ok {
+				r.Observations = []wire.Observation{{Service: "orders", Instance: "a", Evidence: x, AliveAge: -1}}
+				if x == wire.EvidenceAlive {
+					r.Observations[0].AliveAge = 0
+				}
+			}
+			w.step(MessageReceived{From: vm, Message: wire.Message{Report: r}})
+		}
+		w.answerQueries()
+	}
+}
+
+func (w *restartedControl) answerQueries() {
+	for n, e := range w.upstreamEffects {
+		v, ok := e.(Survey)
+		if !ok || n < w.asked || v.Instance != "a" || !w.answers {
+			continue
+		}
+		w.step(SurveyDone{Survey: v.Survey, Instance: "a", Evidence: wire.EvidenceAlive, Role: catalog.RolePrimary, Position: catalog.Position{Term: 3}})
+	}
+	w.asked = len(w.upstreamEffects)
+}
+
+func (w *restartedControl) isReplacing() bool { return w.control.failovers["orders"] != nil }
+
+// TestUnheardPrimary guards against a primary that is never replaced because no entry has heard it since all of them started, and against one that is replaced although it is healthy.
+func TestUnheardPrimary(t *testing.T) {
+	a, b := testAnnouncement("a", catalog.RolePrimary, 1), testAnnouncement("b", catalog.RoleReplica, 1)
+	timings := catalog.DefaultTimings()
+	allFail := map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceTimeout, "e2": wire.EvidenceTimeout, "e3": wire.EvidenceTimeout}
+	Convey("after a restart of all processes, a primary that no entry has heard", t, func() {
+		w := newRestartedControl(t, a, b)
+		Convey("is replaced if it answers neither two sites nor control", func() {
+			w.runReports(2*timings.SuspectTimeout, 1, map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceTimeout, "e2": wire.EvidenceTimeout, "e3": wire.EvidenceNone})
+			So(w.isReplacing(), ShouldBeTrue)
+		})
+		Convey("is not replaced at the first failures", func() {
+			w.runReports(timings.SuspectTimeout-100*time.Millisecond, 1, allFail)
+			So(w.isReplacing(), ShouldBeFalse)
+			w.runReports(5*time.Second, 1, map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceAlive, "e2": wire.EvidenceTimeout, "e3": wire.EvidenceTimeout})
+			So(w.isReplacing(), ShouldBeFalse)
+		})
+		Convey("is not replaced while only one site fails to reach it", func() {
+			w.runReports(5*time.Second, 1, map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceTimeout, "e2": wire.EvidenceNone, "e3": wire.EvidenceNone})
+			So(w.isReplacing(), ShouldBeFalse)
+		})
+		Convey("is not replaced soon if it answers control", func() {
+			w.answers = true
+			w.runReports(timings.AnnouncementTTL-100*time.Millisecond, 1, allFail)
+			So(w.isReplacing(), ShouldBeFalse)
+			Convey("but when it has been out of reach of the entries for long", func() {
+				w.runReports(300*time.Millisecond, 1, allFail)
+				So(w.isReplacing(), ShouldBeTrue)
+			})
+		})
+		Convey("is not replaced because of failures before another restart of the entries", func() {
+			w.runReports(timings.SuspectTimeout-100*time.Millisecond, 1, allFail)
+			w.runReports(5*time.Second, 2, nil)
+			w.runReports(timings.SuspectTimeout-100*time.Millisecond, 2, allFail)
+			So(w.isReplacing(), ShouldBeFalse)
+		})
+	})
+}
--- a/node/control_views.go
+++ b/node/control_views.go
@@ -81,6 +81,9 @@
 	// aliveAt is when the upstream last responded to the entry, zero if it
 	// never did.
 	aliveAt catalog.Instant
+	// failingSince is when the first of the present failures in a row was
+	// reported, zero if the last attempt did not fail.
+	failingSince catalog.Instant
 	// isIdle is set if that was so long before the report that the entry reports
 	// the upstream again once it answers.
 	isIdle   bool
@@ -88,6 +91,11 @@
 	position catalog.Position
 }
 
+// isFailing reports whether the last attempt to use the upstream failed.
+func (o *observation) isFailing() bool {
+	return o.evidence == wire.EvidenceRefused || o.evidence == wire.EvidenceTimeout
+}
+
 // upstreamView is the leader's view of one upstream.
 type upstreamView struct {
 	announcement catalog.Announcement
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -3,13 +3,8 @@
 import (
 	"github.com/kingcupknot/kingcupknot/catalog"
 	"github.com/kingcupknot/kingcupknot/registry"
-	"github.com/kingcupknot/kingcupknot/wire"
 )
 
-// minSuspectingSites is how many sites must observe that a primary is down, or
-// all sites if fewer report.
-const minSuspectingSites = 2
-
 // checkService starts a failover if the service needs one, or advances the
 // failover in progress.
 func (c *Control) checkService(s catalog.Service) {
@@ -131,43 +126,6 @@
 	return c.upstreamsByService[id]
 }
 
-// isPrimaryDown decides from the entries' observations whether a primary is
-// down. The observations of a single site do not suffice while other sites
-// report. Refusals do not count if any entry reached the primary after them.
-func (c *Control) isPrimaryDown(p catalog.Primary) bool {
-	t := c.options.Timings
-	if c.now.Before(c.lateUntil) {
-		return false
-	}
-	// Reports from before this VM was late don't count any more.
-	lateAt := c.lateUntil.Add(-lateReportIntervals * t.ReportInterval)
-	refusedSites, failedSites, reportingSites := map[catalog.SiteID]bool{}, map[catalog.SiteID]bool{}, map[catalog.SiteID]bool{}
-	var lastAlive, lastRefused catalog.Instant
-	for vm, o := range c.observations[p.Instance] {
-		v := c.entries[vm]
-		if v == nil || c.now.Sub(v.reportedAt) > evidenceReportIntervals*t.ReportInterval || v.reportedAt.Before(lateAt) {
-			continue
-		}
-		reportingSites[v.site] = true
-		lastAlive = max(lastAlive, v.lastAliveAt(o))
-		if o.evidence == wire.EvidenceRefused && o.gatheredAt >= o.aliveAt {
-			refusedSites[v.site] = true
-			lastRefused = max(lastRefused, o.gatheredAt)
-		}
-		if o.evidence == wire.EvidenceTimeout || o.evidence == wire.EvidenceRefused {
-			failedSites[v.site] = true
-		}
-	}
-	required := min(minSuspectingSites, len(reportingSites))
-	if required == 0 {
-		return false
-	}
-	if len(refusedSites) >= required && lastAlive <= lastRefused {
-		return true
-	}
-	return len(failedSites) >= required && lastAlive != 0 && c.now.Sub(lastAlive) >= t.SuspectTimeout
-}
-
 // detectLateness notes that this VM was not scheduled for a while. The reports that
 // arrived meanwhile are handled later than they were sent, and those of an upstream
 // that answers again may follow ones that say that it does not. The observations
@@ -189,10 +147,6 @@
 	lateReportIntervals = 2
 )
 
-// evidenceReportIntervals is how many report intervals may pass without a report
-// of an entry before its observations are ignored.
-const evidenceReportIntervals = 4
-
 // keepConnectionsOpen queries the positions of all usable upstreams at
 // intervals, so that control's own connections are open when a failover needs
 // them.
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -105,3 +105,8 @@
 	}
 	return 0
 }
+
+// PrimaryEpoch returns the agreed epoch of a service's primary.
+func (c *Control) PrimaryEpoch(id catalog.ServiceID) catalog.Epoch {
+	return c.state.Primary(id).Epoch
+}
--- a/node/system_change_test.go
+++ b/node/system_change_test.go
@@ -97,7 +97,7 @@
 	w.run(changeTime)
 	r.c.until = w.now
 	w.run(servedBound)
-	r.checkServed()
+	r.c.checkServed()
 	r.c.check()
 	delete(operations, w)
 	return w
@@ -175,25 +175,6 @@
 	}
 }
 
-// checkServed fails unless each entry completes a write.
-func (r *changeRun) checkServed() {
-	w := r.w
-	for n, vm := range w.names('e') {
-		p := w.byName[vm]
-		op := &operation{
-			id: catalog.RequestID(1_000_000 + n), session: sessions, key: "last " + string(vm), isWrite: true, value: 1,
-			startedAt: w.now, entry: p, result: -1, verdict: node.VerdictUnknown,
-		}
-		op.onAnswer = func(v node.Verdict) { op.answered, op.verdict = true, v }
-		r.c.ops, r.c.byID[op.id] = append(r.c.ops, op), op
-		w.deliver(p, p.incarnation, 0, node.RequestArrived{Request: op.id, Service: "ledger", Kind: node.KindWrite, Deadline: w.localTime(p).Add(opDeadline)})
-		w.run(opDeadline + 100*ms)
-		if op.verdict != node.VerdictDone {
-			w.fail("%s serves no writes %v after the faults (leader %s)", vm, servedBound, w.leader().vm)
-		}
-	}
-}
-
 // randomChange returns a plan that derives from the seed.
 func randomChange(seed uint64) changePlan {
 	rng := newSimulation(seed+1<<33, catalog.AckPrimary, nil).rng
--- a/node/system_history_test.go
+++ b/node/system_history_test.go
@@ -180,6 +180,28 @@
 	}
 }
 
+// checkServed fails unless each entry that is not cut off completes a write.
+func (c *callers) checkServed() {
+	w := c.w
+	for _, vm := range w.names('e') {
+		p := w.byName[vm]
+		if w.isolated[p.site] {
+			continue
+		}
+		op := &operation{
+			id: catalog.RequestID(len(c.ops) + 1), session: sessions, key: "last " + string(vm), isWrite: true, value: 1,
+			startedAt: w.now, entry: p, result: -1, verdict: node.VerdictUnknown,
+		}
+		op.onAnswer = func(v node.Verdict) { op.answered, op.verdict = true, v }
+		c.ops, c.byID[op.id] = append(c.ops, op), op
+		w.deliver(p, p.incarnation, 0, node.RequestArrived{Request: op.id, Service: "ledger", Kind: node.KindWrite, Deadline: w.localTime(p).Add(opDeadline)})
+		w.run(opDeadline + 100*ms)
+		if op.verdict != node.VerdictDone {
+			w.fail("%s serves no writes (leader %s)", vm, w.leader().vm)
+		}
+	}
+}
+
 // lastOwnWrite returns the session's last acknowledged write of at most the
 // given value that the log of the newest primary contains. With AckPrimary a
 // failover may lose a write, and reads need not return a lost write.
--- a/node/system_listed_test.go
+++ b/node/system_listed_test.go
@@ -106,7 +106,7 @@
 // beat sends the heartbeats of an upstream to any control VM.
 func (r *listedRun) beat(u *instance) {
 	r.w.schedule(heartbeatInterval, func() { r.beat(u) })
-	if u.dead || u.leaving {
+	if u.dead || u.leaving || r.w.now < u.frozenUntil {
 		return
 	}
 	r.o.sendCommand(r.o.randomControl(), r.announcement(u), maxRedirects, func(node.Reply) {})
