node: replace a primary whose address nobody knows any more

Where upstreams announce themselves to the entries, a restart of all processes forgets their addresses. If the site of the primary is cut off then, no entry can try to reach the primary, and no entry of that site reports, so neither silence nor a missing announcement was ever noticed. The same holds on the platform if all control VMs end before they have recorded the address of a primary that they elected.

Change: a primary is down if neither control nor an entry that reports knows its address for as long as an announcement counts after the leader's grace period. Entries that hear announcements themselves must have reported for that long, from two sites.

--- a/node/control_report.go
+++ b/node/control_report.go
@@ -96,6 +96,7 @@
 		return
 	}
 	if r.Incarnation != v.incarnation {
+		v.reportsSince = c.now
 		// What was sent to the entry before its restart does not arrive any more.
 		v.sentArrivesAt, v.upstreamsArriveAt, v.preferred, v.settingsTransfer = 0, 0, nil, 0
 		if v.incarnation != 0 {
--- a/node/control_suspicion.go
+++ b/node/control_suspicion.go
@@ -85,7 +85,7 @@
 	x := c.gatherEvidence(p.Instance)
 	switch {
 	case x.required() == 0:
-		return false
+		return c.isPrimaryUnknown(p)
 	case len(x.refused) >= x.required() && x.lastAlive <= x.lastRefused:
 		return true
 	case len(x.failingSince) < x.required():
@@ -101,6 +101,27 @@
 	return x.isFailingFor(t.AnnouncementTTL, c.now)
 }
 
+// isPrimaryUnknown reports whether neither control nor an entry knows the address of
+// a primary, although it would have announced itself meanwhile. Upstreams that
+// announce themselves to the entries are forgotten when all processes restart, others
+// when the leader that elected them ends before it has recorded their address.
+func (c *Control) isPrimaryUnknown(p catalog.Primary) bool {
+	heardSince := c.now.Add(-c.options.Timings.AnnouncementTTL)
+	if c.upstreams[p.Instance] != nil || c.graceEndsAt.After(heardSince) {
+		return false
+	}
+	if c.options.DistributesUpstreams {
+		return true
+	}
+	listening := map[catalog.SiteID]bool{}
+	for _, v := range c.entries {
+		if c.hasRecentReport(v) && !v.reportsSince.After(heardSince) {
+			listening[v.site] = true
+		}
+	}
+	return len(listening) >= min(minSuspectingSites, len(c.entryCounts))
+}
+
 // primaryQuery is a query of control itself to a primary that no entry has heard.
 type primaryQuery struct {
 	survey uint64
--- a/node/control_suspicion_test.go
+++ b/node/control_suspicion_test.go
@@ -109,3 +109,26 @@
 		})
 	})
 }
+
+// TestUnknownPrimary guards against a primary that is never replaced because nobody knows its address any more.
+func TestUnknownPrimary(t *testing.T) {
+	Convey("a primary whose address was not recorded before all control VMs restarted", t, func() {
+		w := newRestartedControl(t, testAnnouncement("b", catalog.RoleReplica, 1))
+		ttl := catalog.DefaultTimings().AnnouncementTTL
+		Convey("is replaced once it would have announced itself", func() {
+			w.runReports(ttl-time.Second, 1, nil)
+			So(w.isReplacing(), ShouldBeFalse)
+			w.runReports(time.Second+fullCheckInterval, 1, nil)
+			So(w.isReplacing(), ShouldBeTrue)
+		})
+		Convey("stays if it announces itself", func() {
+			w.step(AnnouncementReceived{Announcement: testAnnouncement("a", catalog.RolePrimary, 1)})
+			w.runReports(2*ttl, 1, nil)
+			So(w.isReplacing(), ShouldBeFalse)
+		})
+		Convey("stays if an entry knows it", func() {
+			w.runReports(2*ttl, 1, map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceAlive})
+			So(w.isReplacing(), ShouldBeFalse)
+		})
+	})
+}
--- a/node/control_views.go
+++ b/node/control_views.go
@@ -15,8 +15,10 @@
 	// has not reported recently.
 	incarnation uint64
 	sequence    uint64
-	// reportedAt is when the report with that sequence arrived.
+	// reportedAt is when the report with that sequence arrived, and reportsSince
+	// when this leader got the first one of the incarnation.
 	reportedAt      catalog.Instant
+	reportsSince    catalog.Instant
 	settingsVersion catalog.Version
 	// aliveWithin is from the last report; lastAliveAt uses it.
 	aliveWithin time.Duration
--- a/node/system_restart_test.go
+++ b/node/system_restart_test.go
@@ -144,9 +144,6 @@
 		isListed: rng.IntN(3) > 0, fault: primaryFaults[rng.IntN(len(primaryFaults))],
 		lostAt: time.Duration(rng.IntN(4000)-1000) * ms,
 	}
-	if !plan.isListed && plan.fault == "cut" {
-		plan.fault = "silent"
-	}
 	for n := range 1 + rng.IntN(3) {
 		plan.restarts = append(plan.restarts, restart{
 			kind: restartKinds[rng.IntN(len(restartKinds))], delay: time.Duration(n*1500+rng.IntN(1500)) * ms,
