node: elect no instance whose log is off the group's history

Callers saw: a former primary that returned with commits of its own was elected before a replica that was on the history.

Cause: control compared candidates by term and offset, not with the agreed forks. A log that goes beyond the fork of a later term holds writes that are no part of the history.

Change: such an instance is not eligible until it has followed, and does not count among those that may hold a synchronous write of the present term, so that an election does not wait for it. Entries use the same comparison, which moved to catalog.

--- a/catalog/position.go
+++ b/catalog/position.go
@@ -55,6 +55,12 @@
 	return have.Offset >= offset
 }
 
+// Includes reports whether a log that ends at p is part of the group's history. A log
+// that goes beyond the fork of a later term holds writes that no longer are.
+func (f Forks) Includes(p Position) bool {
+	return f.Clip(p) == p
+}
+
 // Clip limits the offset of p to the forks after its term. The resulting offset
 // can be compared with that of an upstream in the newest term.
 func (f Forks) Clip(p Position) Position {
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -127,6 +127,10 @@
 	}
 	replicas, answers := 0, 0
 	for _, u := range c.instancesOf(s.ID) {
+		a, hasAnswered := f.answers[u.announcement.Instance]
+		if hasAnswered && !holdsHistory(c.state.Primary(s.ID), a) {
+			continue
+		}
 		if u.announcement.Instance != oldPrimary && c.mayHoldLatestWrites(u) {
 			replicas++
 		}
@@ -202,16 +206,13 @@
 }
 
 // eligibleInstances returns the instances that answered and can lead the group,
-// sorted by id. A bootstrap accepts only primaries. A primary of an older term
-// is not eligible: it can't begin a new term before it has followed the current
-// one, so writes that only it holds must not count.
+// sorted by id. A bootstrap accepts only primaries.
 func (c *Control) eligibleInstances(s catalog.Service, f *failover) []catalog.InstanceID {
-	term := c.state.Primary(s.ID).Term
+	p := c.state.Primary(s.ID)
 	var ids []catalog.InstanceID
 	for _, id := range slices.Sorted(maps.Keys(f.answers)) {
 		a := f.answers[id]
-		isPrimary := a.Role == catalog.RolePrimary
-		if f.kind == failoverBootstrap && !isPrimary || isPrimary && a.Position.Term < term {
+		if f.kind == failoverBootstrap && a.Role != catalog.RolePrimary || !holdsHistory(p, a) {
 			continue
 		}
 		ids = append(ids, id)
@@ -219,6 +220,18 @@
 	return ids
 }
 
+// holdsHistory reports whether the log of an instance that answered is part of the
+// group's history. An instance that led or followed an earlier term, and has not
+// followed the present one since, may hold writes beyond the point at which a later
+// term began. If it were elected, these writes would return, and those of the later
+// terms would be lost. The log of a primary of an earlier term may still grow.
+func holdsHistory(p catalog.Primary, a SurveyDone) bool {
+	if a.Role == catalog.RolePrimary && a.Position.Term < p.Term {
+		return false
+	}
+	return p.Forks.Includes(a.PromotionPosition())
+}
+
 // chooseCaughtUpReplica returns a replica that holds everything the old primary
 // holds, empty if there is none.
 func (c *Control) chooseCaughtUpReplica(f *failover, oldPrimary catalog.InstanceID) catalog.InstanceID {
--- a/node/entry_read.go
+++ b/node/entry_read.go
@@ -116,15 +116,7 @@
 // isOnHistory reports whether the upstream's position is part of the current
 // primary's history.
 func (e *Entry) isOnHistory(s *entryService, i *entryInstance) bool {
-	if i.position.Term > s.primary.Term {
-		return false
-	}
-	for _, k := range s.primary.Forks {
-		if k.Term > i.position.Term && i.position.Offset > k.At {
-			return false
-		}
-	}
-	return true
+	return i.position.Term <= s.primary.Term && s.primary.Forks.Includes(i.position)
 }
 
 // isFreshEnough reports whether a replica's data is known to be no older than
