node: elect a replica if the first primary of a service is lost

Cause: the first election of a service accepts only the instance that announced itself as primary, however long ago, and was repeated without end if that one is gone.

Change: once its surveys have failed for as long as an announcement counts, and no primary has announced itself for that long, the failover becomes an unplanned one.

--- a/node/control_failover.go
+++ b/node/control_failover.go
@@ -66,6 +66,8 @@
 	// answers holds the answers of the current survey, all given after the
 	// fence.
 	answers map[catalog.InstanceID]SurveyDone
+	// firstSurveyAt is when the first survey started, zero before it.
+	firstSurveyAt catalog.Instant
 	// catchUpDeadline limits how long a planned change waits for a replica to
 	// catch up.
 	catchUpDeadline catalog.Instant
@@ -166,14 +168,23 @@
 	}
 }
 
+// giveUp changes the kind of a failover whose condition has not been met for too
+// long.
+func (c *Control) giveUp(s catalog.Service, f *failover) {
+	switch f.kind {
+	case failoverSwitch, failoverLeaving:
+		c.giveUpPlannedChange(s, f)
+	case failoverBootstrap:
+		c.giveUpBootstrap(s, f)
+	}
+}
+
 // giveUpPlannedChange turns a planned change into a renewal of the epoch if no
 // replica caught up in time. The old primary is then elected again if it
-// responds to a new survey, otherwise another instance. It always returns false,
-// because the survey phase continues.
-func (c *Control) giveUpPlannedChange(s catalog.Service, f *failover) bool {
-	planned := f.kind == failoverSwitch || f.kind == failoverLeaving
-	if !planned || c.now.Before(f.catchUpDeadline) {
-		return false
+// responds to a new survey, otherwise another instance.
+func (c *Control) giveUpPlannedChange(s catalog.Service, f *failover) {
+	if c.now.Before(f.catchUpDeadline) {
+		return
 	}
 	if f.commandNumber != 0 {
 		c.emit(AnswerCommand{Number: f.commandNumber, Reply: Reply{Code: ReplyConflict, Version: c.state.Version, Text: switchFailedText}})
@@ -181,5 +192,22 @@
 	}
 	f.kind, f.target = failoverRenewal, ""
 	c.enterPhase(s, f, phaseSurvey)
-	return false
+}
+
+// giveUpBootstrap lets any instance become the first primary of a service if the one
+// that called itself primary answers no survey and has not announced itself for as
+// long as an announcement counts, or answers no survey for unresponsiveReplicaWait.
+func (c *Control) giveUpBootstrap(s catalog.Service, f *failover) {
+	wait := c.options.Timings.AnnouncementTTL
+	for _, u := range c.instancesOf(s.ID) {
+		if u.announcement.Role == catalog.RolePrimary && c.isUsable(u) {
+			wait = unresponsiveReplicaWait
+		}
+	}
+	if f.firstSurveyAt == 0 || c.now.Before(f.firstSurveyAt.Add(wait)) {
+		return
+	}
+	c.log("failover", "The first primary of a service does not answer.", "service", string(s.ID))
+	f.kind = failoverUnplanned
+	c.enterPhase(s, f, phaseSurvey)
 }
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -55,6 +55,9 @@
 	c.surveyed[s.ID] = true
 	f.answers = map[catalog.InstanceID]SurveyDone{}
 	f.surveyEndsAt = c.now.Add(c.surveyTimeout())
+	if f.firstSurveyAt == 0 {
+		f.firstSurveyAt = c.now
+	}
 	f.nextSurveyAt = c.now.Add(surveyRetryDelay)
 	for _, u := range c.instancesOf(s.ID) {
 		f.openSurveys[c.surveyUpstream(u, f.surveyEndsAt)] = u.announcement.Instance
@@ -88,11 +91,13 @@
 func (c *Control) tryElect(s catalog.Service, f *failover) bool {
 	oldPrimary := c.state.Primary(s.ID).Instance
 	if !c.isSurveySufficient(s, f, oldPrimary) {
-		return c.giveUpPlannedChange(s, f)
+		c.giveUp(s, f)
+		return false
 	}
 	target := c.chooseTarget(s, f, oldPrimary)
 	if target == "" {
-		return c.giveUpPlannedChange(s, f)
+		c.giveUp(s, f)
+		return false
 	}
 	f.target, f.oldPrimary, f.targetPosition = target, oldPrimary, f.answers[target].Position
 	c.proposeElection(s, f)
