node: elect a first primary though an instance was never known

If the primary of a new service was lost before it had announced itself, control knew fewer instances than the service should have, and elected none of them for good.

The time counts from when this leader first knew one of them, so that the first heartbeat of a service that was just added does not decide.

Evidence: TestFirstPrimaryIsLost ("a primary that has never announced itself") elects nothing without the change.

--- a/node/control_bootstrap_test.go
+++ b/node/control_bootstrap_test.go
@@ -85,4 +85,13 @@
 			So(g.primary().Instance, ShouldEqual, catalog.InstanceID("a"))
 		})
 	})
+	Convey("a primary that has never announced itself", t, func() {
+		g := start(map[catalog.InstanceID]catalog.Role{"b": replica, "c": replica})
+		configure(g)
+		g.run(unresponsiveReplicaWait - time.Second)
+		So(g.primary().Epoch, ShouldEqual, catalog.Epoch(0))
+		g.run(3 * time.Second)
+		So(g.primary().Instance, ShouldEqual, catalog.InstanceID("c"))
+		So(g.primary().Ready, ShouldBeTrue)
+	})
 }
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -37,7 +37,8 @@
 
 // bootstrapPrimary finds the first primary of a service. Usually the group has
 // one already; if none has announced itself, control elects one after all
-// instances are known.
+// instances are known, or after those that are known have been without a primary
+// for unresponsiveReplicaWait.
 func (c *Control) bootstrapPrimary(s catalog.Service) {
 	for _, u := range c.instancesOf(s.ID) {
 		if u.announcement.Role == catalog.RolePrimary && !u.announcement.Leaving {
@@ -45,7 +46,15 @@
 			return
 		}
 	}
-	if c.graceEndsAt.Add(c.options.Timings.AnnouncementTTL).Before(c.now) && len(c.instancesOf(s.ID)) >= s.Instances {
+	known := len(c.instancesOf(s.ID))
+	if known == 0 {
+		return
+	}
+	if c.unledSince[s.ID] == 0 {
+		c.unledSince[s.ID] = max(c.now, c.graceEndsAt)
+	}
+	isKnown := known >= s.Instances && c.graceEndsAt.Add(c.options.Timings.AnnouncementTTL).Before(c.now)
+	if isKnown || c.unledSince[s.ID].Add(unresponsiveReplicaWait).Before(c.now) {
 		c.startFailover(s, c.state.Primary(s.ID), failoverUnplanned, "")
 	}
 }
