node: replace a silent primary though only one site tries to reach it

Entries of other sites that have no requests of a service do not try to reach its primary, so the second site that must agree never did, and a primary that fell silent was not replaced for good, with or without a restart.

Change: if no entry has heard the primary since the failures of the one site began, for as long as an announcement counts (4 s on the platform; an entry with requests in the last minute probes every 2 s), and control's own query fails as well, the primary is down. An answer to control counts for the same time, so that a healthy primary is not asked more often.

TestUnheardPrimary ("is replaced late if it does not answer control either") fails without it. TestOneSiteCannotTriggerFailover and TestRestartReplacesNoHealthyPrimary hold.

--- a/node/control_suspicion.go
+++ b/node/control_suspicion.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -89,7 +91,7 @@
 	case len(x.refused) >= x.required() && x.lastAlive <= x.lastRefused:
 		return true
 	case len(x.failingSince) < x.required():
-		return false
+		return c.isSilentToUsers(p, x)
 	case x.lastAlive != 0:
 		return c.now.Sub(x.lastAlive) >= t.SuspectTimeout
 	}
@@ -101,6 +103,18 @@
 	return x.isFailingFor(t.AnnouncementTTL, c.now)
 }
 
+// isSilentToUsers reports whether a primary has answered nobody for as long as an
+// announcement counts, although too few sites have tried to reach it. Entries without
+// requests of a service don't try, so control is the second witness.
+func (c *Control) isSilentToUsers(p catalog.Primary, x *primaryEvidence) bool {
+	if len(x.failingSince) == 0 {
+		return false
+	}
+	since := slices.Min(slices.Collect(maps.Values(x.failingSince)))
+	isSilent := x.lastAlive.Before(since) && c.now.Sub(since) >= c.options.Timings.AnnouncementTTL
+	return isSilent && c.isSilentToControl(p)
+}
+
 // isPrimaryUnknown reports whether neither control nor an entry knows the address of
 // a primary, although it would have announced itself meanwhile. Upstreams that
 // announce themselves to the entries are forgotten when all processes restart, others
@@ -130,6 +144,14 @@
 	hasAnswered bool
 }
 
+// validUntil returns until when the outcome of the query counts.
+func (q *primaryQuery) validUntil(t catalog.Timings) catalog.Instant {
+	if q.hasAnswered {
+		return q.endsAt.Add(t.AnnouncementTTL)
+	}
+	return q.endsAt.Add(t.SuspectTimeout)
+}
+
 // queryInterval bounds the rate at which primaries are queried when the entries of a
 // large fleet start.
 const queryInterval = 5 * time.Millisecond
@@ -142,8 +164,7 @@
 	if u == nil {
 		return true
 	}
-	q := c.primaryQueries[p.Instance]
-	if q != nil && c.now.Before(q.endsAt.Add(c.options.Timings.SuspectTimeout)) {
+	if q := c.primaryQueries[p.Instance]; q != nil && c.now.Before(q.validUntil(c.options.Timings)) {
 		return !q.hasAnswered && !c.now.Before(q.endsAt)
 	}
 	if c.now.Before(c.nextQueryAt) {
--- a/node/control_suspicion_test.go
+++ b/node/control_suspicion_test.go
@@ -88,9 +88,24 @@
 			w.runReports(5*time.Second, 1, map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceAlive, "e2": wire.EvidenceTimeout, "e3": wire.EvidenceTimeout})
 			So(w.isReplacing(), ShouldBeFalse)
 		})
-		Convey("is not replaced while only one site fails to reach it", func() {
-			w.runReports(5*time.Second, 1, map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceTimeout, "e2": wire.EvidenceNone, "e3": wire.EvidenceNone})
-			So(w.isReplacing(), ShouldBeFalse)
+		Convey("and that only one site tries to reach", func() {
+			oneFails := map[catalog.VMID]wire.Evidence{"e1": wire.EvidenceTimeout, "e2": wire.EvidenceNone, "e3": wire.EvidenceNone}
+			Convey("is not replaced while it answers control", func() {
+				w.answers = true
+				w.runReports(5*time.Second, 1, oneFails)
+				So(w.isReplacing(), ShouldBeFalse)
+			})
+			Convey("is not replaced while another site hears it", func() {
+				oneFails["e2"] = wire.EvidenceAlive
+				w.runReports(5*time.Second, 1, oneFails)
+				So(w.isReplacing(), ShouldBeFalse)
+			})
+			Convey("is replaced late if it does not answer control either", func() {
+				w.runReports(timings.AnnouncementTTL-100*time.Millisecond, 1, oneFails)
+				So(w.isReplacing(), ShouldBeFalse)
+				w.runReports(2*timings.SuspectTimeout, 1, oneFails)
+				So(w.isReplacing(), ShouldBeTrue)
+			})
 		})
 		Convey("is not replaced soon if it answers control", func() {
 			w.answers = true
