node: give queries of a silent primary the timeout of probes

A query of the status is a probe, so it now has the same timeout, and both fit into the suspicion timeout.

--- a/node/control_query.go
+++ b/node/control_query.go
@@ -51,7 +51,7 @@
 	}
 	if c.isQueryDue(q) {
 		c.nextQueryAt = c.now.Add(queryInterval)
-		q.endsAt = c.now.Add(t.SuspectTimeout)
+		q.endsAt = c.now.Add(t.ProbeTimeout)
 		q.survey, q.isOpen = c.surveyUpstream(u, q.endsAt), true
 	}
 	return q.failures >= minFailedQueries
