tests: read the plans of simulations in one place

Three tests read files of the same form, and put a generated plan in front of its violations, each with its own copy of the code.

--- a/node/system_change_test.go
+++ b/node/system_change_test.go
@@ -1,9 +1,7 @@
 package node_test
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -195,31 +193,14 @@
 // the end of a leader: kind, delay, duration.
 func readChange(t *testing.T, path string) changePlan {
 	t.Helper()
-	file, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
 	var plan changePlan
-	duration := func(text string) time.Duration {
-		d, err := time.ParseDuration(text)
-		if err != nil {
-			t.Fatalf("%s: %v", path, err)
-		}
-		return d
-	}
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		words := strings.Fields(lines.Text())
-		switch {
-		case len(words) == 0 || words[0] == "#":
-		case len(words) != 3:
-			t.Fatalf("%s: %q has not three words", path, lines.Text())
-		case plan.cause == "":
-			plan = changePlan{isListed: words[0] == "listed", cause: words[1], lasts: duration(words[2])}
-		default:
-			plan.ends = append(plan.ends, leaderEnd{kind: words[0], delay: duration(words[1]), lasts: duration(words[2])})
+	readPlanLines(t, path, 3, func(line int, words []string) {
+		if line == 0 {
+			plan = changePlan{isListed: words[0] == "listed", cause: words[1], lasts: planDuration(t, words[2])}
+			return
 		}
-	}
+		plan.ends = append(plan.ends, leaderEnd{kind: words[0], delay: planDuration(t, words[1]), lasts: planDuration(t, words[2])})
+	})
 	return plan
 }
 
@@ -240,11 +221,7 @@
 func TestChangeUnderRandomEndsOfLeaders(t *testing.T) {
 	checkSeeds(t, 3**seeds, append(append([]string{"later leader ended"}, changeCauses...), leaderEnds...), func(seed uint64) *simulation {
 		plan := randomChange(seed)
-		w := simulateChange(seed, plan, nil)
-		if len(w.violations) > 0 {
-			w.violations = append([]string{fmt.Sprintf("plan %+v", plan)}, w.violations...)
-		}
-		return w
+		return simulateChange(seed, plan, nil).explain(plan)
 	})
 }
 
--- a/node/system_listed_test.go
+++ b/node/system_listed_test.go
@@ -1,9 +1,6 @@
 package node_test
 
 import (
-	"bufio"
-	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -273,31 +270,14 @@
 // fault: anchor, delay, kind, duration.
 func readPlan(t *testing.T, path string) leavePlan {
 	t.Helper()
-	file, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
 	var plan leavePlan
-	duration := func(text string) time.Duration {
-		d, err := time.ParseDuration(text)
-		if err != nil {
-			t.Fatalf("%s: %v", path, err)
-		}
-		return d
-	}
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		words := strings.Fields(lines.Text())
-		switch {
-		case len(words) == 0 || words[0] == "#":
-		case len(words) != 4:
-			t.Fatalf("%s: %q has not four words", path, lines.Text())
-		case plan.upstream == "":
-			plan = leavePlan{upstream: catalog.InstanceID(words[0]), way: words[1], repeats: words[2] == "repeats", wait: duration(words[3])}
-		default:
-			plan.faults = append(plan.faults, plannedFault{anchor: words[0], delay: duration(words[1]), kind: words[2], lasts: duration(words[3])})
+	readPlanLines(t, path, 4, func(line int, words []string) {
+		if line == 0 {
+			plan = leavePlan{upstream: catalog.InstanceID(words[0]), way: words[1], repeats: words[2] == "repeats", wait: planDuration(t, words[3])}
+			return
 		}
-	}
+		plan.faults = append(plan.faults, plannedFault{anchor: words[0], delay: planDuration(t, words[1]), kind: words[2], lasts: planDuration(t, words[3])})
+	})
 	return plan
 }
 
@@ -318,10 +298,6 @@
 func TestLeavingUpstreamUnderRandomFaults(t *testing.T) {
 	checkSeeds(t, 5**seeds, faultKinds, func(seed uint64) *simulation {
 		plan := randomPlan(seed)
-		w := simulateListed(seed, plan)
-		if len(w.violations) > 0 {
-			w.violations = append([]string{fmt.Sprintf("plan %+v", plan)}, w.violations...)
-		}
-		return w
+		return simulateListed(seed, plan).explain(plan)
 	})
 }
--- a/node/system_restart_test.go
+++ b/node/system_restart_test.go
@@ -1,9 +1,6 @@
 package node_test
 
 import (
-	"bufio"
-	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -158,31 +155,14 @@
 // which processes, when, and for how long they are down.
 func readRestarts(t *testing.T, path string) restartPlan {
 	t.Helper()
-	file, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
 	var plan restartPlan
-	duration := func(text string) time.Duration {
-		d, err := time.ParseDuration(text)
-		if err != nil {
-			t.Fatalf("%s: %v", path, err)
-		}
-		return d
-	}
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		words := strings.Fields(lines.Text())
-		switch {
-		case len(words) == 0 || words[0] == "#":
-		case len(words) != 3:
-			t.Fatalf("%s: %q has not three words", path, lines.Text())
-		case plan.fault == "":
-			plan = restartPlan{isListed: words[0] == "listed", lostAt: duration(words[1]), fault: words[2]}
-		default:
-			plan.restarts = append(plan.restarts, restart{kind: words[0], delay: duration(words[1]), down: duration(words[2])})
+	readPlanLines(t, path, 3, func(line int, words []string) {
+		if line == 0 {
+			plan = restartPlan{isListed: words[0] == "listed", lostAt: planDuration(t, words[1]), fault: words[2]}
+			return
 		}
-	}
+		plan.restarts = append(plan.restarts, restart{kind: words[0], delay: planDuration(t, words[1]), down: planDuration(t, words[2])})
+	})
 	return plan
 }
 
@@ -203,11 +183,7 @@
 func TestLostPrimaryUnderRandomRestarts(t *testing.T) {
 	checkSeeds(t, 3**seeds, append(append([]string{}, primaryFaults...), restartKinds...), func(seed uint64) *simulation {
 		plan := randomRestarts(seed)
-		w := simulateRestarts(seed, plan)
-		if len(w.violations) > 0 {
-			w.violations = append([]string{fmt.Sprintf("plan %+v", plan)}, w.violations...)
-		}
-		return w
+		return simulateRestarts(seed, plan).explain(plan)
 	})
 }
 
@@ -216,10 +192,6 @@
 	checkSeeds(t, 3**seeds, append([]string{"pause"}, restartKinds...), func(seed uint64) *simulation {
 		plan := randomRestarts(seed)
 		plan.fault = ""
-		w := simulateRestarts(seed, plan)
-		if len(w.violations) > 0 {
-			w.violations = append([]string{fmt.Sprintf("plan %+v", plan)}, w.violations...)
-		}
-		return w
+		return simulateRestarts(seed, plan).explain(plan)
 	})
 }
