tests: let listed upstreams follow the newest primary by themselves

In the model, upstreams that control lists followed a new primary only when control told them, which it does not do on the platform and which needs a recent announcement. The platform's upstreams follow at the promotion.

--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -133,6 +133,9 @@
 // replicate fetches the missing records and applies them after applyLag.
 func (w *simulation) replicate(u *instance) {
 	w.schedule(u.pullInterval, func() { w.replicate(u) })
+	if w.isListed {
+		w.followNewest(u)
+	}
 	from := w.group[u.following]
 	if from == nil || u.dead || from.dead || w.now < from.frozenUntil || w.now < u.frozenUntil || w.isCut(u.site, from.site) {
 		return
--- a/node/system_replication_test.go
+++ b/node/system_replication_test.go
@@ -50,16 +50,37 @@
 		if u.dead || from.role != catalog.RolePrimary || from.term <= u.term {
 			return
 		}
-		u.rewinds++
-		all := u.log
-		if isPrefix(u.log, u.received) {
-			all = u.received
-		}
-		n := 0
-		for n < len(all) && n < len(from.log) && all[n] == from.log[n] {
-			n++
-		}
-		u.received, u.log = all[:n:n], u.log[:min(n, len(u.log))]
-		u.role, u.following = catalog.RoleReplica, from.id
+		u.follow(from)
 	})
 }
+
+// follow makes the upstream a replica of another, after truncating its log to the
+// records that both have.
+func (u *instance) follow(from *instance) {
+	u.rewinds++
+	all := u.log
+	if isPrefix(u.log, u.received) {
+		all = u.received
+	}
+	n := 0
+	for n < len(all) && n < len(from.log) && all[n] == from.log[n] {
+		n++
+	}
+	u.received, u.log = all[:n:n], u.log[:min(n, len(u.log))]
+	u.role, u.following = catalog.RoleReplica, from.id
+}
+
+// followNewest makes an upstream follow the primary of the newest term as soon as both
+// are in reach of each other. Upstreams that control lists do so by themselves.
+func (w *simulation) followNewest(u *instance) {
+	if len(w.group) < len(w.ids()) {
+		return
+	}
+	from := w.lastPromoted()
+	if u == from || u.following == from.id || u.dead || from.dead || from.role != catalog.RolePrimary || from.term <= u.term {
+		return
+	}
+	if w.now >= u.frozenUntil && w.now >= from.frozenUntil && !w.isCut(u.site, from.site) {
+		u.follow(from)
+	}
+}
