node: count a silence only up to the last report of it

If a primary paused for a moment and all entries ended then, their last reports counted for 0.8 s as if the entries still failed to reach it, and the last of them to expire decided alone. A healthy primary was replaced.

Change: the silence of a primary lasts from its last answer to the last report of an entry that fails to reach it. The same holds for the time in which the attempts of an entry have been failing.

TestEndedEntriesObserveNothing fails without the change.

--- a/node/control_suspicion.go
+++ b/node/control_suspicion.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/kingcupknot/kingcupknot/catalog"
@@ -26,11 +24,21 @@
 	// lastAlive is when the primary last responded to any of the entries, zero if
 	// it has responded to none since they started.
 	lastAlive, lastRefused catalog.Instant
-	// failingSince holds, for each site with an entry whose last attempt failed,
-	// since when the attempts of one of its entries have been failing.
-	failingSince map[catalog.SiteID]catalog.Instant
+	// failing holds, for each site with an entry whose last attempt failed, the
+	// longest time in which the attempts of one of its entries have been failing.
+	failing map[catalog.SiteID]failingSpan
+	// failingUntil is the latest report of an entry whose last attempt failed.
+	failingUntil catalog.Instant
 }
 
+// failingSpan is the time from the first failure in a row that an entry reported to
+// its last report. An entry that has ended observes nothing after that.
+type failingSpan struct {
+	since, until catalog.Instant
+}
+
+func (s failingSpan) length() time.Duration { return s.until.Sub(s.since) }
+
 // required returns how many sites must agree that the primary is down, zero if none
 // has an observation.
 func (x *primaryEvidence) required() int {
@@ -39,10 +47,10 @@
 
 // isFailingFor reports whether the attempts of enough sites have been failing for a
 // time.
-func (x *primaryEvidence) isFailingFor(d time.Duration, now catalog.Instant) bool {
+func (x *primaryEvidence) isFailingFor(d time.Duration) bool {
 	sites := 0
-	for _, since := range x.failingSince {
-		if now.Sub(since) >= d {
+	for _, s := range x.failing {
+		if s.length() >= d {
 			sites++
 		}
 	}
@@ -54,7 +62,7 @@
 	// Reports from before this VM was late don't count any more.
 	lateAt := c.lateUntil.Add(-lateReportIntervals * t.ReportInterval)
 	x := &primaryEvidence{
-		reporting: map[catalog.SiteID]bool{}, refused: map[catalog.SiteID]bool{}, failingSince: map[catalog.SiteID]catalog.Instant{},
+		reporting: map[catalog.SiteID]bool{}, refused: map[catalog.SiteID]bool{}, failing: map[catalog.SiteID]failingSpan{},
 	}
 	for vm, o := range c.observations[id] {
 		v := c.entries[vm]
@@ -68,8 +76,10 @@
 			x.lastRefused = max(x.lastRefused, o.gatheredAt)
 		}
 		if o.isFailing() {
-			if since, ok := x.failingSince[v.site]; !ok || o.failingSince.Before(since) {
-				x.failingSince[v.site] = o.failingSince
+			x.failingUntil = max(x.failingUntil, v.reportedAt)
+			s := failingSpan{since: o.failingSince, until: v.reportedAt}
+			if longest, ok := x.failing[v.site]; !ok || longest.length() < s.length() {
+				x.failing[v.site] = s
 			}
 		}
 	}
@@ -90,29 +100,29 @@
 		return c.isPrimaryUnknown(p)
 	case len(x.refused) >= x.required() && x.lastAlive <= x.lastRefused:
 		return true
-	case len(x.failingSince) < x.required():
+	case len(x.failing) < x.required():
 		return c.isSilentToUsers(p, x)
 	case x.lastAlive != 0:
-		return c.now.Sub(x.lastAlive) >= t.SuspectTimeout
+		return x.failingUntil.Sub(x.lastAlive) >= t.SuspectTimeout
 	}
 	// No entry has heard the primary since it started, as after a restart of all
 	// entries, so how long the primary has been silent is not known from it.
 	if c.isSilentToControl(p) {
-		return x.isFailingFor(t.SuspectTimeout, c.now)
+		return x.isFailingFor(t.SuspectTimeout)
 	}
-	return x.isFailingFor(t.AnnouncementTTL, c.now)
+	return x.isFailingFor(t.AnnouncementTTL)
 }
 
 // isSilentToUsers reports whether a primary has answered nobody for as long as an
 // announcement counts, although too few sites have tried to reach it. Entries without
 // requests of a service don't try, so control is the second witness.
 func (c *Control) isSilentToUsers(p catalog.Primary, x *primaryEvidence) bool {
-	if len(x.failingSince) == 0 {
-		return false
+	for _, s := range x.failing {
+		if x.lastAlive.Before(s.since) && s.length() >= c.options.Timings.AnnouncementTTL {
+			return c.isSilentToControl(p)
+		}
 	}
-	since := slices.Min(slices.Collect(maps.Values(x.failingSince)))
-	isSilent := x.lastAlive.Before(since) && c.now.Sub(since) >= c.options.Timings.AnnouncementTTL
-	return isSilent && c.isSilentToControl(p)
+	return false
 }
 
 // isPrimaryUnknown reports whether neither control nor an entry knows the address of
--- a/node/control_suspicion_test.go
+++ b/node/control_suspicion_test.go
@@ -147,3 +147,20 @@
 		})
 	})
 }
+
+// TestEndedEntriesObserveNothing guards against a healthy primary that is replaced because the entries which saw it pause have ended, and so report no answer after that.
+func TestEndedEntriesObserveNothing(t *testing.T) {
+	Convey("a primary that paused for 200 ms before all entries ended is not replaced", t, func() {
+		o := newControlHarness(t, catalog.AckPrimary)
+		o.setUpLeases()
+		for age := 100 * ms; age <= 200*ms; age += 100 * ms {
+			o.advance(100 * ms)
+			for vm := range harnessEntries {
+				o.report(vm, timeoutObservation(age))
+			}
+		}
+		o.advance(time.Second)
+		So(o.primary().Epoch, ShouldEqual, catalog.Epoch(1))
+		So(countEffects[Survey](o), ShouldEqual, 0)
+	})
+}
