node: miss no announcement to entries that have just started

Where upstreams announce themselves to the entries, a primary counted as leaving if its last announcement was too old and an entry of its site reported, although that entry had just started and could not have received one yet.

Change: an entry of the site must have reported for as long as an announcement counts.

TestSystemLeaving holds.

--- a/node/control_suspicion.go
+++ b/node/control_suspicion.go
@@ -137,11 +137,5 @@
 	if c.options.DistributesUpstreams {
 		return true
 	}
-	listening := map[catalog.SiteID]bool{}
-	for _, v := range c.entries {
-		if c.hasRecentReport(v) && !v.reportsSince.After(heardSince) {
-			listening[v.site] = true
-		}
-	}
-	return len(listening) >= min(minSuspectingSites, len(c.entryCounts))
+	return len(c.listeningSites()) >= min(minSuspectingSites, len(c.entryCounts))
 }
--- a/node/control_suspicion_test.go
+++ b/node/control_suspicion_test.go
@@ -164,3 +164,44 @@
 		So(countEffects[Survey](o), ShouldEqual, 0)
 	})
 }
+
+// TestStartedEntriesMissNoAnnouncement guards against a healthy primary that is replaced because the entries have just started and not received its announcement yet.
+func TestStartedEntriesMissNoAnnouncement(t *testing.T) {
+	Convey("an announcement that is too old does not count while all entries have just started", t, func() {
+		o := newControlHarness(t, catalog.AckPrimary)
+		o.setUpLeases()
+		ttl := catalog.DefaultTimings().AnnouncementTTL
+		o.advance(ttl + 100*ms)
+		o.announceReplicas()
+		report := func() {
+			for vm, site := range harnessEntries {
+				o.reportSequences[vm]++
+				o.feed(MessageReceived{From: vm, Message: wire.Message{Report: &wire.Report{
+					VM: vm, Site: site, Incarnation: 2, Sequence: o.reportSequences[vm], Services: []catalog.ServiceID{"ledger"},
+				}}})
+			}
+		}
+		o.control.upstreams["a"].announcement.Site = "s1"
+		for range 10 {
+			report()
+			o.advance(100 * ms)
+		}
+		So(o.control.failovers, ShouldBeEmpty)
+		Convey("but once they have listened for long enough", func() {
+			for range 25 {
+				report()
+				o.announceReplicas()
+				o.advance(100 * ms)
+			}
+			So(o.primary().Epoch+catalog.Epoch(len(o.control.failovers)), ShouldBeGreaterThan, catalog.Epoch(1))
+		})
+	})
+}
+
+// announceReplicas announces all upstreams but the primary a.
+func (o *controlHarness) announceReplicas() {
+	position := o.positions["a"]
+	delete(o.positions, "a")
+	o.announce()
+	o.positions["a"] = position
+}
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -92,23 +92,25 @@
 	if c.now.Before(announcedAt.Add(c.options.Timings.AnnouncementTTL)) {
 		return false
 	}
-	reporting := c.reportingSites()
+	listening := c.listeningSites()
 	if u != nil {
-		return reporting[u.announcement.Site]
+		return listening[u.announcement.Site]
 	}
 	for _, site := range c.options.Entries {
-		if !reporting[site] {
+		if !listening[site] {
 			return false
 		}
 	}
 	return true
 }
 
-// reportingSites returns the sites with an entry that reported recently.
-func (c *Control) reportingSites() map[catalog.SiteID]bool {
+// listeningSites returns the sites with an entry that has reported for so long that an
+// announcement must have reached it.
+func (c *Control) listeningSites() map[catalog.SiteID]bool {
+	since := c.now.Add(-c.options.Timings.AnnouncementTTL)
 	sites := map[catalog.SiteID]bool{}
 	for _, v := range c.entries {
-		if c.now.Sub(v.reportedAt) <= evidenceReportIntervals*c.options.Timings.ReportInterval {
+		if c.hasRecentReport(v) && !v.reportsSince.After(since) {
 			sites[v.site] = true
 		}
 	}
