node: replace a primary that only old announcements tell of

Where upstreams announce themselves to the entries and the site of the primary is cut off for good, the primary was never replaced if only the entries had restarted, since control still remembered its address, or only control, since the entries had lost their connections and don't try an upstream whose announcement is too old.

Change: what counts is whether any entry has heard the primary, or control has been told of an announcement, for as long as an announcement counts. On the platform nothing changes while control knows the address.

--- a/node/control_suspicion.go
+++ b/node/control_suspicion.go
@@ -97,11 +97,11 @@
 	x := c.gatherEvidence(p.Instance)
 	switch {
 	case x.required() == 0:
-		return c.isPrimaryUnknown(p)
+		return c.isPrimaryUnknown(p, x)
 	case len(x.refused) >= x.required() && x.lastAlive <= x.lastRefused:
 		return true
 	case len(x.failing) < x.required():
-		return c.isSilentToUsers(p, x)
+		return c.isSilentToUsers(p, x) || c.isPrimaryUnknown(p, x)
 	case x.lastAlive != 0:
 		return x.failingUntil.Sub(x.lastAlive) >= t.SuspectTimeout
 	}
@@ -125,17 +125,22 @@
 	return false
 }
 
-// isPrimaryUnknown reports whether neither control nor an entry knows the address of
-// a primary, although it would have announced itself meanwhile. Upstreams that
-// announce themselves to the entries are forgotten when all processes restart, others
-// when the leader that elected them ends before it has recorded their address.
-func (c *Control) isPrimaryUnknown(p catalog.Primary) bool {
+// isPrimaryUnknown reports whether no entry has heard a primary or been told its address
+// for so long that the primary would have announced itself. Entries to which upstreams
+// announce themselves forget them when they restart, and don't try to reach one whose
+// announcement is too old. Where control distributes the list, an address is unknown if
+// the leader that elected the primary ended before it recorded the address.
+func (c *Control) isPrimaryUnknown(p catalog.Primary, x *primaryEvidence) bool {
 	heardSince := c.now.Add(-c.options.Timings.AnnouncementTTL)
-	if c.upstreams[p.Instance] != nil || c.graceEndsAt.After(heardSince) {
+	if c.graceEndsAt.After(heardSince) || x.lastAlive.After(heardSince) {
 		return false
 	}
+	u := c.upstreams[p.Instance]
 	if c.options.DistributesUpstreams {
-		return true
+		return u == nil
+	}
+	if u != nil && u.announcedAt.After(heardSince) {
+		return false
 	}
 	return len(c.listeningSites()) >= min(minSuspectingSites, len(c.entryCounts))
 }
