--- a/node/control.go
+++ b/node/control.go
@@ -65,9 +65,9 @@
 	// primary. Invariant: the way on is an election, which waits for all leases of
 	// the epoch; no entry is asked to accept leases of the epoch again.
 	spentEpochs map[catalog.ServiceID]catalog.Epoch
-	// unledSince holds since when this leader has known instances of a service that
+	// noPrimarySince holds since when this leader has known instances of a service that
 	// never had a primary.
-	unledSince map[catalog.ServiceID]catalog.Instant
+	noPrimarySince map[catalog.ServiceID]catalog.Instant
 	// primaryQueries holds the last queries to primaries that no entry has heard,
 	// and nextQueryAt is when the next one may be sent.
 	primaryQueries map[catalog.InstanceID]*primaryQuery
@@ -169,7 +169,7 @@
 	c.proposals = map[quorum.Index]uint64{}
 	c.observations = map[catalog.InstanceID]map[catalog.VMID]observation{}
 	c.spentEpochs = map[catalog.ServiceID]catalog.Epoch{}
-	c.unledSince = map[catalog.ServiceID]catalog.Instant{}
+	c.noPrimarySince = map[catalog.ServiceID]catalog.Instant{}
 	c.primaryQueries, c.nextQueryAt = map[catalog.InstanceID]*primaryQuery{}, 0
 	c.suspectUntil = map[catalog.ServiceID]catalog.Instant{}
 	c.nextFullCheckAt, c.nextKeepaliveAt, c.nextPushAt, c.lateUntil = 0, 0, 0, 0
--- a/node/control_suspicion.go
+++ b/node/control_suspicion.go
@@ -101,7 +101,7 @@
 	case len(x.refused) >= x.required() && x.lastAlive <= x.lastRefused:
 		return true
 	case len(x.failing) < x.required():
-		return c.isSilentToUsers(p, x) || c.isPrimaryUnknown(p, x)
+		return c.isSilentToAll(p, x) || c.isPrimaryUnknown(p, x)
 	case x.lastAlive != 0:
 		return x.failingUntil.Sub(x.lastAlive) >= t.SuspectTimeout
 	}
@@ -113,10 +113,10 @@
 	return x.isFailingFor(t.AnnouncementTTL)
 }
 
-// isSilentToUsers reports whether a primary has answered nobody for as long as an
+// isSilentToAll reports whether a primary has answered nobody for as long as an
 // announcement counts, although too few sites have tried to reach it. Entries without
 // requests of a service don't try, so control is the second witness.
-func (c *Control) isSilentToUsers(p catalog.Primary, x *primaryEvidence) bool {
+func (c *Control) isSilentToAll(p catalog.Primary, x *primaryEvidence) bool {
 	for _, s := range x.failing {
 		if x.lastAlive.Before(s.since) && s.length() >= c.options.Timings.AnnouncementTTL {
 			return c.isSilentToControl(p)
--- a/node/control_watch.go
+++ b/node/control_watch.go
@@ -50,11 +50,11 @@
 	if known == 0 {
 		return
 	}
-	if c.unledSince[s.ID] == 0 {
-		c.unledSince[s.ID] = max(c.now, c.graceEndsAt)
+	if c.noPrimarySince[s.ID] == 0 {
+		c.noPrimarySince[s.ID] = max(c.now, c.graceEndsAt)
 	}
 	isKnown := known >= s.Instances && c.graceEndsAt.Add(c.options.Timings.AnnouncementTTL).Before(c.now)
-	if isKnown || c.unledSince[s.ID].Add(unresponsiveReplicaWait).Before(c.now) {
+	if isKnown || c.noPrimarySince[s.ID].Add(unresponsiveReplicaWait).Before(c.now) {
 		c.startFailover(s, c.state.Primary(s.ID), failoverUnplanned, "")
 	}
 }
