--- a/node/system_history_test.go
+++ b/node/system_history_test.go
@@ -180,6 +180,34 @@
 	}
 }
 
+// sendWrite sends a write that belongs to no session.
+func (c *callers) sendWrite(p *process) *operation {
+	w := c.w
+	op := &operation{
+		id: catalog.RequestID(len(c.ops) + 1), session: sessions, isWrite: true, value: 1,
+		startedAt: w.now, entry: p, result: -1, verdict: node.VerdictUnknown,
+	}
+	op.key = fmt.Sprint("single ", op.id)
+	op.onAnswer = func(v node.Verdict) { op.answered, op.verdict = true, v }
+	c.ops, c.byID[op.id] = append(c.ops, op), op
+	w.deliver(p, p.incarnation, 0, node.RequestArrived{Request: op.id, Service: "ledger", Kind: node.KindWrite, Deadline: w.localTime(p).Add(opDeadline)})
+	return op
+}
+
+// sendWrites sends a write to each entry once a second until an instant. Entries
+// without requests do not notice that a primary is lost.
+func (c *callers) sendWrites(until catalog.Instant) {
+	if c.w.now > until {
+		return
+	}
+	for _, vm := range c.w.names('e') {
+		if p := c.w.byName[vm]; !p.dead {
+			c.sendWrite(p)
+		}
+	}
+	c.w.schedule(time.Second, func() { c.sendWrites(until) })
+}
+
 // checkServed fails unless each entry that is not cut off completes a write.
 func (c *callers) checkServed() {
 	w := c.w
@@ -188,13 +216,7 @@
 		if w.isolated[p.site] {
 			continue
 		}
-		op := &operation{
-			id: catalog.RequestID(len(c.ops) + 1), session: sessions, key: "last " + string(vm), isWrite: true, value: 1,
-			startedAt: w.now, entry: p, result: -1, verdict: node.VerdictUnknown,
-		}
-		op.onAnswer = func(v node.Verdict) { op.answered, op.verdict = true, v }
-		c.ops, c.byID[op.id] = append(c.ops, op), op
-		w.deliver(p, p.incarnation, 0, node.RequestArrived{Request: op.id, Service: "ledger", Kind: node.KindWrite, Deadline: w.localTime(p).Add(opDeadline)})
+		op := c.sendWrite(p)
 		w.run(opDeadline + 100*ms)
 		if op.verdict != node.VerdictDone {
 			w.fail("%s serves no writes (leader %s)", vm, w.leader().vm)
--- a/node/system_restart_test.go
+++ b/node/system_restart_test.go
@@ -61,6 +61,7 @@
 	}
 	w.run(4 * time.Second)
 	c := newCallers(w)
+	c.sendWrites(w.now.Add(time.Second + restartTime + servedBound))
 	w.run(time.Second)
 	if plan.fault != "" {
 		w.schedule(time.Second+plan.lostAt, func() { w.losePrimary(plan.fault) })
