--- a/review/standin-3/sync_retired.go
+++ b/review/standin-3/sync_retired.go
@@ -35,7 +35,7 @@
 }
 
 // playSyncRetired: one replica is leaving, the other receives nothing when the
-// primary crashes, and the leader of control is killed.
+// primary crashes, and the leader of control is stopped as planned just before.
 func playSyncRetired(w *world) error {
 	if err := w.begin(1); err != nil {
 		return err
@@ -47,12 +47,10 @@
 	if !waitFor(3*time.Second, func() bool { g.mutex.Lock(); defer g.mutex.Unlock(); return leaving.drainAcked }) {
 		return fmt.Errorf("%w: draining was not acknowledged", errNotRun)
 	}
-	if !w.trouble {
-		time.Sleep(8 * time.Second)
-		return nil
-	}
 	time.Sleep(time.Second)
-	quiet.setDeaf(true)
+	if w.trouble {
+		quiet.setDeaf(true)
+	}
 	time.Sleep(time.Second)
 	g.mutex.Lock()
 	last := leaving.ackedBeatAt
@@ -62,8 +60,11 @@
 	if leader == nil {
 		return fmt.Errorf("%w: control has no leader", errNotRun)
 	}
-	primary.crash()
-	w.fleet.signal(leader, syscall.SIGKILL)
+	w.fleet.signal(leader, syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	if w.trouble {
+		primary.crash()
+	}
 	waitFor(12*time.Second, func() bool { g.mutex.Lock(); defer g.mutex.Unlock(); return len(g.promotions) > 0 })
 	time.Sleep(time.Second)
 	return nil
