--- a/review/standin-3/instance.go
+++ b/review/standin-3/instance.go
@@ -82,6 +82,17 @@
 	g.changed.Broadcast()
 }
 
+// restartAs starts a crashed instance again under another id, with its log.
+func (i *instance) restartAs(id string) error {
+	g := i.group
+	g.mutex.Lock()
+	i.id = id
+	i.born, i.sequence, i.state, i.deaf = time.Now().UnixMilli(), 0, "ready", false
+	g.mutex.Unlock()
+	g.record.printf("%s is back", id)
+	return i.listen()
+}
+
 // setDeaf makes a replica receive nothing, or receive again.
 func (i *instance) setDeaf(deaf bool) {
 	g := i.group
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,12 +27,15 @@
 	fleet   *fleet
 	group   *group
 	trouble bool
+	// withoutLoad is set if the case runs clients of its own.
+	withoutLoad bool
 }
 
 // cases maps the names of the cases to their plays. A play returns an error that
 // wraps errNotRun if it could not be set up, and records broken rules.
 var cases = map[string]func(*world) error{
 	"sync-retired": playSyncRetired,
+	"recover-dead": playRecoverDead,
 }
 
 func main() {
--- a/review/standin-3/sync_retired.go
+++ b/review/standin-3/sync_retired.go
@@ -22,9 +22,14 @@
 	if !w.fleet.putManifest(w.group.manifest(1), 10*time.Second) {
 		return fmt.Errorf("%w: no manifest was acknowledged", errNotRun)
 	}
-	w.load(6, 6)
-	if !waitFor(15*time.Second, func() bool { return w.group.ackedCount() > 100 }) {
-		return fmt.Errorf("%w: nothing is served", errNotRun)
+	if !waitFor(10*time.Second, func() bool { return w.fleet.readyFront(0) >= 0 }) {
+		return fmt.Errorf("%w: no front is ready", errNotRun)
+	}
+	if !w.withoutLoad {
+		w.load(6, 6)
+		if !waitFor(15*time.Second, func() bool { return w.group.ackedCount() > 100 }) {
+			return fmt.Errorf("%w: nothing is served", errNotRun)
+		}
 	}
 	for _, p := range w.fleet.all() {
 		if err := w.fleet.writeSettings(p, false); err != nil {
