--- a/review/standin-3/group.go
+++ b/review/standin-3/group.go
@@ -46,6 +46,8 @@
 	// sent holds the statements that clients have sent.
 	sent       map[string]string
 	promotions []string
+	// answerDelay is how long the platform takes for its answers.
+	answerDelay time.Duration
 }
 
 func newGroup(r *record) *group {
@@ -130,6 +132,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		g.mutex.Lock()
+		delay := g.answerDelay
+		g.mutex.Unlock()
+		time.Sleep(delay)
 		code := g.promote(body.ID, fence, r.Header.Get("X-Duty-Holder"))
 		g.record.printf("promotion of %s, fence %d, holder %s: %d", body.ID, fence, r.Header.Get("X-Duty-Holder"), code)
 		w.WriteHeader(code)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -34,8 +34,9 @@
 // cases maps the names of the cases to their plays. A play returns an error that
 // wraps errNotRun if it could not be set up, and records broken rules.
 var cases = map[string]func(*world) error{
-	"sync-retired": playSyncRetired,
-	"recover-dead": playRecoverDead,
+	"sync-retired":  playSyncRetired,
+	"recover-dead":  playRecoverDead,
+	"slow-platform": playSlowPlatform,
 }
 
 func main() {
--- a/review/standin-3/recover_dead.go
+++ b/review/standin-3/recover_dead.go
@@ -129,10 +129,16 @@
 	}
 	back := time.Now().Add(2 * restartDelay)
 	time.Sleep(time.Until(back.Add(recoveryTime + recoveryCheck)))
+	w.checkRecovery(&o, back)
+	return nil
+}
+
+// checkRecovery checks the requests that were sent later than recoveryTime after the
+// processes were back.
+func (w *world) checkRecovery(o *outcomes, back time.Time) {
 	sent, served := o.share(back.Add(recoveryTime), back.Add(recoveryTime+recoveryCheck))
 	w.record.printf("%d of %d requests were served that were sent %v to %v after the processes were back", served, sent, recoveryTime, recoveryTime+recoveryCheck)
 	if float64(served) < servedPart*float64(sent) {
 		w.record.brokenRule("RECOVER: %d of %d requests are served later than %v after the final fault", served, sent, recoveryTime)
 	}
-	return nil
 }
