--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -28,7 +28,6 @@
 	// process again.
 	restartDelay = 300 * time.Millisecond
 	callTimeout  = time.Second
-	manifestPath = "/-/config"
 )
 
 // process is one daemon of the deployment.
@@ -155,11 +154,11 @@
 		"node_name": p.name, "role": p.role, "machine_class": class, "ip": p.ip, "zone": fmt.Sprintf("muscat-%c", 'a'+p.zone), "region": "muscat",
 		"listen_addrs": listen, "internal_ports": []int{f.ports.internal, f.ports.internal + 11}, "seeds": seeds, "bootstrap": bootstrap,
 		"loss_counted": p.role == "control", "data_dir": data, "heartbeat_ms": heartbeatInterval.Milliseconds(),
-		"limits":          map[string]any{"max_fds": 4200, "memory_mb": 284, "cores": 1},
-		"fault_tolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
-		"bounds":          map[string]any{"grace_s": graceSeconds, "drain_ms": 7000, "config_apply_ms": 3000, "fencing_required": true},
-		"config_mode":     "highest",
-		"cloud_api":       map[string]any{"address": f.cloud, "duties": []string{"promotion"}, "duty_per_s": 50},
+		"limits":           map[string]any{"max_fds": 4200, "memory_mb": 284, "cores": 1},
+		"fault_tolerance":  map[string]int{"machines": 1, "zones": 1, "regions": 0},
+		"bounds":           map[string]any{"grace_s": graceSeconds, "drain_ms": 7000, "config_apply_ms": 3000, "fencing_required": true},
+		"config_mode":      "highest",
+		nameOf("platform"): map[string]any{"address": f.cloud, "duties": []string{"promotion"}, "duty_per_s": 50},
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %w", errNotRun, err)
@@ -182,7 +181,7 @@
 	for n, p := range f.fronts {
 		f.spawn(func() {
 			f.every(time.Second, func() {
-				code, _, _, err := f.call(http.MethodGet, f.address(p.ip, f.ports.ready), "/-/readiness", "")
+				code, _, _, err := f.call(http.MethodGet, f.address(p.ip, f.ports.ready), nameOf("readiness-path"), "")
 				f.ready[n].Store(err == nil && code == http.StatusOK)
 			})
 		})
@@ -246,7 +245,7 @@
 func (f *fleet) launch(p *process) (*exec.Cmd, error) {
 	words := append([]string{}, p.words...)
 	for n, word := range words {
-		if word == "/etc/kingcupknot/boot.json" {
+		if word == nameOf("settings-file") {
 			words[n] = p.settings
 		}
 	}
@@ -256,7 +255,7 @@
 	}
 	defer log.Close()
 	p.command = exec.Command(words[0], words[1:]...)
-	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "KINGCUPKNOT_NODE_FILE=" + p.settings}
+	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), nameOf("settings-variable") + "=" + p.settings}
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return p.command, p.command.Start()
@@ -336,7 +335,7 @@
 // leader returns the core machine that answers a read of the manifest itself.
 func (f *fleet) leader() *process {
 	for _, p := range f.cores {
-		code, _, _, err := f.call(http.MethodGet, f.address(p.ip, f.ports.control), manifestPath, "")
+		code, _, _, err := f.call(http.MethodGet, f.address(p.ip, f.ports.control), nameOf("manifest-path"), "")
 		if err == nil && code == http.StatusOK {
 			return p
 		}
@@ -349,7 +348,7 @@
 	n := 0
 	return waitFor(limit, func() bool {
 		n++
-		code, _, err := f.callControl(n, http.MethodPut, manifestPath, text)
+		code, _, err := f.callControl(n, http.MethodPut, nameOf("manifest-path"), text)
 		f.record.printf("manifest sent to core-%d: %d %v", n%coreCount, code, err)
 		if err != nil || code != http.StatusOK {
 			time.Sleep(100 * time.Millisecond)
--- a/review/standin-3/group.go
+++ b/review/standin-3/group.go
@@ -133,7 +133,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /promotion", func(w http.ResponseWriter, r *http.Request) {
 		var body struct{ Service, ID string }
-		fence, err := strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64)
+		fence, err := strconv.ParseUint(r.Header.Get(nameOf("fence-header")), 10, 64)
 		if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil || body.Service != g.service {
 			w.WriteHeader(http.StatusBadRequest)
 			return
@@ -147,8 +147,8 @@
 			panic(http.ErrAbortHandler)
 		}
 		time.Sleep(delay)
-		code := g.promote(body.ID, fence, r.Header.Get("X-Duty-Holder"))
-		g.record.printf("promotion of %s, fence %d, holder %s: %d", body.ID, fence, r.Header.Get("X-Duty-Holder"), code)
+		code := g.promote(body.ID, fence, r.Header.Get(nameOf("holder-header")))
+		g.record.printf("promotion of %s, fence %d, holder %s: %d", body.ID, fence, r.Header.Get(nameOf("holder-header")), code)
 		w.WriteHeader(code)
 	})
 	server := &http.Server{Handler: mux}
@@ -248,8 +248,8 @@
 // manifest returns a manifest with three databases.
 func (g *group) manifest(version int) string {
 	route := func(host, kind string, age int) string {
-		return fmt.Sprintf(`{"name":"r-%s","host":%q,"path_prefix":"/","route_type":%q,"timeout_ms":1000,"target_latency_ms":200,"priority":1,"service":%q,"max_attempts":2,"max_staleness_ms":%d}`, host, host, kind, g.service, age)
+		return fmt.Sprintf(nameOf("route"), host, host, kind, g.service, age)
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":%q,"health_path":"/health","max_conns":%d,"protocol":"h1","tls":false,"sync_replicas":%d}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000,"tx_idle_ms":3000}}`,
+	return fmt.Sprintf(nameOf("manifest"),
 		version, route("dbp", "primary", 0), route("dbb", "bounded_staleness", 1500), route("dbo", "read_own_writes", 2500), g.service, maxConns, g.sync)
 }
--- a/review/standin-3/instance.go
+++ b/review/standin-3/instance.go
@@ -142,7 +142,7 @@
 		return
 	}
 	for range coreCount {
-		code, _, err := i.fleet.callControl(i.control, http.MethodPut, "/-/instances/"+i.id, string(body))
+		code, _, err := i.fleet.callControl(i.control, http.MethodPut, nameOf("instances-path")+i.id, string(body))
 		if err == nil && code/100 == 2 {
 			g.mutex.Lock()
 			i.ackedBeatAt = time.Now()
@@ -196,9 +196,9 @@
 		g.mutex.Unlock()
 		return
 	case len(words) < 2 || words[0] != "START" || words[1] != g.service || len(words) > 3 && words[3] != i.id:
-		answer = "ERROR WRONGNODE " + i.id + "\r\n"
+		answer = "ERROR " + nameOf("wrong-instance") + " " + i.id + "\r\n"
 	case len(i.conns) >= maxConns:
-		answer = "ERROR CONNLIMIT " + i.id + "\r\n"
+		answer = "ERROR " + nameOf("too-many-connections") + " " + i.id + "\r\n"
 	}
 	if answer != "" {
 		g.mutex.Unlock()
