node: count a leaving upstream among those with synchronous writes

Cause: a new leader of control left the upstreams that had begun to leave under an earlier leader out of the group, until their next heartbeat. It elected a replica without asking them, though an upstream receives writes until it ends and may be the only one that holds them.

Why it works: the agreed list still has these upstreams, and the new leader now puts them into the group where the service has synchronous replicas, so that an election waits for their answers as it did under the leader before. That one which has ended holds up an election for up to 15 s after a change of leader is left to the next changes.

The model plays a group with synchronous replicas on the platform: instances receive nothing, leave, end, start again at their address under another id, or join.

--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -189,6 +189,14 @@
 	return old.Incarnation != a.Incarnation || old.Address != a.Address || old.Site != a.Site || old.Slots != a.Slots
 }
 
+// needsLeaving reports whether a new leader needs an upstream that left under an earlier
+// one, and that may be gone: it is the primary, or it may hold synchronous writes that
+// no other replica has, since an upstream receives writes until it ends.
+func (c *Control) needsLeaving(a catalog.Announcement) bool {
+	s, _ := c.state.Service(a.Service)
+	return s.SyncReplicas > 0 || c.state.Primary(a.Service).Instance == a.Instance
+}
+
 // restoreUpstreams adds the upstreams that earlier leaders recorded. Control
 // itself does not use them until they announce themselves. Those that leave are
 // added as if they did not, and then marked in the order in which they were
@@ -207,8 +215,7 @@
 		u := &upstreamView{announcement: a}
 		u.announcement.Leaving = false
 		c.upstreams[a.Instance] = u
-		// An upstream that left may be gone. It is needed only as a primary.
-		if !a.Leaving || c.state.Primary(a.Service).Instance == a.Instance {
+		if !a.Leaving || c.needsLeaving(a) {
 			u.inGroup = true
 			c.upstreamsByService[a.Service] = append(c.upstreamsByService[a.Service], u)
 		}
--- a/node/system_group_test.go
+++ b/node/system_group_test.go
@@ -38,6 +38,11 @@
 		leaving                bool
 		// isSilent is set while the instance sends no announcements.
 		isSilent bool
+		// isDeaf is set while the instance receives nothing from the primary.
+		isDeaf bool
+		// address is where the instance accepts connections. Another instance may
+		// take it over.
+		address string
 		// promotedAt is when the instance last became the primary.
 		promotedAt   catalog.Instant
 		openConns    int
@@ -92,9 +97,9 @@
 var operations = map[*simulation]map[catalog.RequestID]*operation{}
 
 func (w *simulation) newGroup() {
-	for n, id := range []catalog.InstanceID{"a", "b", "c"} {
+	for n, id := range w.instances {
 		u := &instance{
-			id: id, site: sites[n], role: catalog.RoleReplica, term: 1, following: "a", incarnation: 1,
+			id: id, site: sites[n%len(sites)], address: string(id) + ":1", role: catalog.RoleReplica, term: 1, following: "a", incarnation: 1,
 			pullInterval: time.Duration(3+w.rng.IntN(40)) * ms, applyLag: time.Duration(w.rng.IntN(60)) * ms,
 		}
 		w.group[id] = u
@@ -106,7 +111,7 @@
 	w.group["a"].role, w.group["a"].following = catalog.RolePrimary, ""
 }
 
-func (w *simulation) ids() []catalog.InstanceID { return []catalog.InstanceID{"a", "b", "c"} }
+func (w *simulation) ids() []catalog.InstanceID { return w.instances }
 
 func (u *instance) position() catalog.Position {
 	return catalog.Position{Term: u.term, Offset: catalog.Offset(len(u.log))}
@@ -137,7 +142,7 @@
 		w.followNewest(u)
 	}
 	from := w.group[u.following]
-	if from == nil || u.dead || from.dead || w.now < from.frozenUntil || w.now < u.frozenUntil || w.isCut(u.site, from.site) {
+	if from == nil || u.dead || u.isDeaf || from.dead || w.now < from.frozenUntil || w.now < u.frozenUntil || w.isCut(u.site, from.site) {
 		return
 	}
 	if from.role != catalog.RolePrimary || from.term < u.term {
@@ -319,16 +324,58 @@
 		if v.QueryPosition {
 			done.Position, done.PositionQueriedAt = u.position(), sentAt
 		}
-		w.schedule(time.Duration(w.rng.IntN(2000))*time.Microsecond+w.latency(p.site, u.site), func() {
-			if c.closed || w.isCut(p.site, u.site) {
-				return
-			}
-			c.request, op.result = 0, result
-			w.handle(p, incarnation, done)
-		})
+		answer := func() {
+			w.schedule(time.Duration(w.rng.IntN(2000))*time.Microsecond+w.latency(p.site, u.site), func() {
+				if c.closed || w.isCut(p.site, u.site) {
+					return
+				}
+				c.request, op.result = 0, result
+				w.handle(p, incarnation, done)
+			})
+		}
+		if op.isWrite && done.Outcome == node.OutcomeCompleted && w.syncReplicas > 0 {
+			w.awaitReceived(u, u.log, answer)
+			return
+		}
+		answer()
+	})
+}
+
+// awaitReceived calls a function when enough replicas have received the log of a
+// primary, unless the primary ends or is replaced before that.
+func (w *simulation) awaitReceived(u *instance, log []record, then func()) {
+	incarnation, received := u.incarnation, 0
+	for _, id := range w.ids() {
+		if x := w.group[id]; x != u && !x.dead && x.hasReceived(log) {
+			received++
+		}
+	}
+	if received >= w.syncReplicas {
+		then()
+		return
+	}
+	w.schedule(ms, func() {
+		if !u.dead && u.incarnation == incarnation && u.role == catalog.RolePrimary {
+			w.awaitReceived(u, log, then)
+		}
 	})
 }
 
+// hasReceived reports whether the upstream has received a whole log. The term of a
+// record and its place determine all records before it.
+func (u *instance) hasReceived(log []record) bool {
+	received := u.receivedLog()
+	return len(log) == 0 || len(received) >= len(log) && received[len(log)-1] == log[len(log)-1]
+}
+
+// receivedLog returns all that the upstream has received.
+func (u *instance) receivedLog() []record {
+	if len(u.received) > len(u.log) {
+		return u.received
+	}
+	return u.log
+}
+
 func (w *simulation) notifyBegin(p *process, u *instance, id catalog.RequestID) {
 	if w.onBegin != nil {
 		w.onBegin(p, u, id)
--- a/node/system_listed_test.go
+++ b/node/system_listed_test.go
@@ -112,7 +112,7 @@
 func (r *listedRun) announcement(u *instance) node.Command {
 	u.sequence++
 	return node.Command{Announce: &node.Announce{Announcement: catalog.Announcement{
-		Service: "ledger", Instance: u.id, Address: string(u.id) + ":1", Site: u.site, Role: u.role,
+		Service: "ledger", Instance: u.id, Address: u.address, Site: u.site, Role: u.role,
 		Leaving: u.leaving, Incarnation: u.incarnation, Sequence: u.sequence,
 	}}}
 }
--- a/node/system_replication_test.go
+++ b/node/system_replication_test.go
@@ -21,6 +21,10 @@
 }
 
 func (w *simulation) promote(p *process, v node.Promote) {
+	if w.onPromote != nil {
+		w.onPromote(p, v)
+		return
+	}
 	u, incarnation := w.group[v.Instance], p.incarnation
 	w.sendToUpstream(p.site, u, func() {
 		if u.dead {
@@ -77,7 +81,7 @@
 		return
 	}
 	from := w.lastPromoted()
-	if u == from || u.following == from.id || u.dead || from.dead || from.role != catalog.RolePrimary || from.term <= u.term {
+	if u == from || u.following == from.id || u.dead || u.isDeaf || from.dead || from.role != catalog.RolePrimary || from.term <= u.term {
 		return
 	}
 	if w.now >= u.frozenUntil && w.now >= from.frozenUntil && !w.isCut(u.site, from.site) {
--- a/node/system_simulation_test.go
+++ b/node/system_simulation_test.go
@@ -65,9 +65,14 @@
 		isolated map[catalog.SiteID]bool
 		// loss is the probability that a message is lost, and equally that it is
 		// duplicated or delayed.
-		loss   float64
-		ack    catalog.AckMode
-		limits catalog.Limits
+		loss float64
+		ack  catalog.AckMode
+		// instances are the ids of the group's instances, in the order in which they
+		// joined. syncReplicas is how many replicas must have received a write before
+		// the primary acknowledges it.
+		instances    []catalog.InstanceID
+		syncReplicas int
+		limits       catalog.Limits
 		// isListed is set if upstreams announce themselves to control alone.
 		isListed bool
 		// timings are those of all VMs.
@@ -96,6 +101,8 @@
 		onReply   func(*process, node.AnswerCommand)
 		onStopped func(*process)
 		onBegin   func(*process, *instance, catalog.RequestID)
+		// onPromote, if set, carries out the promotions of the platform.
+		onPromote func(*process, node.Promote)
 	}
 )
 
@@ -119,7 +126,8 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), now: catalog.Instant(time.Second), ack: ack,
 		byName: map[catalog.VMID]*process{}, group: map[catalog.InstanceID]*instance{}, conns: map[connKey]*conn{},
 		isolated: map[catalog.SiteID]bool{}, counts: map[string]int{}, timings: catalog.DefaultTimings(),
-		limits: catalog.Limits{Connections: 20, Reserved: 2, Slots: 3, LocalShare: 2},
+		limits:    catalog.Limits{Connections: 20, Reserved: 2, Slots: 3, LocalShare: 2},
+		instances: []catalog.InstanceID{"a", "b", "c"},
 	}
 	if mutate != nil {
 		mutate(w)
@@ -160,7 +168,7 @@
 func (w *simulation) start(p *process) {
 	p.incarnation++
 	p.dead, p.draining = false, false
-	service := catalog.Service{ID: "ledger", Ack: w.ack, Instances: 3, Limits: w.limits}
+	service := catalog.Service{ID: "ledger", Ack: w.ack, Instances: 3, Limits: w.limits, SyncReplicas: w.syncReplicas}
 	if p.vm[0] == 'k' {
 		entries := map[catalog.VMID]catalog.SiteID{}
 		for _, vm := range w.names('e') {
