node, registry: tell an elected instance from the last ready primary

Cause: the agreed state names one primary, also while that one was only elected. The next survey took it for the one that is replaced, did not wait for its answer and did not count it among the replicas that may hold synchronous writes. 15 s after the last heartbeat of the real primary, the answer of a replica that lacks the writes was enough.

Change: the agreed state keeps the last primary that was ready until another one is. Elections go by that one. A new leader keeps it in the group, too, if it left: a planned change that an earlier leader began no longer forgets the primary that leaves.

The stand-in of controlHarness gave a promoted replica its own term plus one, which can be the present term of the group. Control refuses that, and TestLogOffTheHistoryIsNotElected passed only as the second attempt took the replica for the old primary. A promotion now takes a term after all earlier ones, as the databases do.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -59,6 +59,18 @@
 	Ready bool `cbor:"5,keyasint" json:"ready"`
 	// Forks are the points where the group's terms diverged.
 	Forks Forks `cbor:"6,keyasint" json:"forks,omitempty"`
+	// Former is the instance that was ready last. Invariant: it is empty while Ready is
+	// true, and while no instance was ever ready.
+	Former InstanceID `cbor:"7,keyasint,omitempty" json:"former,omitempty"`
+}
+
+// LastReady returns the instance that leads the group, or led it last, as far as
+// control knows. An instance that was elected and is not ready may never lead it.
+func (p Primary) LastReady() InstanceID {
+	if p.Ready {
+		return p.Instance
+	}
+	return p.Former
 }
 
 // Announcement is the state that an upstream periodically announces.
--- a/node/control_harness_test.go
+++ b/node/control_harness_test.go
@@ -80,7 +80,7 @@
 		return
 	}
 	if o.roles[v.Instance] != catalog.RolePrimary {
-		p.Term++
+		p.Term = max(p.Term, v.After) + 1
 		o.positions[v.Instance], o.roles[v.Instance] = p, catalog.RolePrimary
 	}
 	o.feed(PromoteDone{Service: v.Service, Instance: v.Instance, Epoch: v.Epoch, OK: true, Position: p})
--- a/node/control_survey.go
+++ b/node/control_survey.go
@@ -89,7 +89,7 @@
 // tryElect elects the next primary if the answers suffice. It reports whether
 // the phase is over.
 func (c *Control) tryElect(s catalog.Service, f *failover) bool {
-	oldPrimary := c.state.Primary(s.ID).Instance
+	oldPrimary := c.state.Primary(s.ID).LastReady()
 	if !c.isSurveySufficient(s, f, oldPrimary) {
 		c.giveUp(s, f)
 		return false
@@ -197,16 +197,17 @@
 	case failoverSwitch, failoverLeaving:
 		return c.chooseCaughtUpReplica(f, oldPrimary)
 	}
-	term := c.state.Primary(s.ID).Term
-	if a, ok := f.answers[oldPrimary]; ok && a.Role == catalog.RolePrimary && a.Position.Term >= term {
-		return oldPrimary
-	}
 	best := catalog.InstanceID("")
 	for _, id := range c.eligibleInstances(s, f) {
 		if best == "" || f.answers[best].PromotionPosition().Less(f.answers[id].PromotionPosition()) {
 			best = id
 		}
 	}
+	// An instance that was promoted meanwhile has a later term than the old primary.
+	a, hasAnswered := f.answers[oldPrimary]
+	if hasAnswered && a.Role == catalog.RolePrimary && a.Position.Term >= max(c.state.Primary(s.ID).Term, f.answers[best].Position.Term) {
+		return oldPrimary
+	}
 	return best
 }
 
--- a/node/control_upstreams.go
+++ b/node/control_upstreams.go
@@ -190,11 +190,12 @@
 }
 
 // needsLeaving reports whether a new leader needs an upstream that left under an earlier
-// one, and that may be gone: it is the primary, or it may hold synchronous writes that
+// one, and that may be gone: it is or was just the primary, or it may hold synchronous writes that
 // no other replica has, since an upstream receives writes until it ends.
 func (c *Control) needsLeaving(a catalog.Announcement) bool {
 	s, _ := c.state.Service(a.Service)
-	return s.SyncReplicas > 0 || c.state.Primary(a.Service).Instance == a.Instance
+	p := c.state.Primary(a.Service)
+	return s.SyncReplicas > 0 || p.Instance == a.Instance || p.LastReady() == a.Instance
 }
 
 // restoreUpstreams adds the upstreams that earlier leaders recorded. Control
--- a/registry/apply.go
+++ b/registry/apply.go
@@ -178,7 +178,7 @@
 	if e.Epoch != p.Epoch+1 {
 		return Result{Code: CodeConflict, Version: s.Version}
 	}
-	p.Epoch, p.Instance, p.Ready = e.Epoch, e.Instance, false
+	p.Epoch, p.Instance, p.Ready, p.Former = e.Epoch, e.Instance, false, p.LastReady()
 	s.setPrimary(p)
 	return Result{Code: CodeOK, Version: s.Version}
 }
@@ -188,7 +188,7 @@
 	if r.Epoch != p.Epoch {
 		return Result{Code: CodeConflict, Version: s.Version}
 	}
-	p.Term, p.Ready = r.Term, true
+	p.Term, p.Ready, p.Former = r.Term, true, ""
 	if r.Fork.Term != 0 {
 		p.Forks = p.Forks.With(r.Fork)
 	}
--- a/registry/apply_test.go
+++ b/registry/apply_test.go
@@ -111,3 +111,27 @@
 		So(s.IsRegistered("i01023", 1), ShouldBeFalse)
 	})
 }
+
+// TestElectedInstanceIsNotTheFormerPrimary guards against control that takes an instance which was elected and never promoted for the one that led the group.
+func TestElectedInstanceIsNotTheFormerPrimary(t *testing.T) {
+	Convey("the last ready primary is known until another one is ready", t, func() {
+		s := New()
+		s.Apply(Change{ID: "x", Create: &CreateService{Service: service("orders", 1)}})
+		So(s.Apply(Change{Elect: &ElectPrimary{Service: "orders", Epoch: 1, Instance: "a"}}).Code, ShouldEqual, CodeOK)
+		So(s.Primary("orders").LastReady(), ShouldBeEmpty)
+		s.Apply(Change{Ready: &PrimaryReady{Service: "orders", Epoch: 1, Term: 1}})
+		So(s.Primary("orders").LastReady(), ShouldEqual, catalog.InstanceID("a"))
+		for n, id := range []catalog.InstanceID{"b", "c", "b"} {
+			So(s.Apply(Change{Elect: &ElectPrimary{Service: "orders", Epoch: catalog.Epoch(n + 2), Instance: id}}).Code, ShouldEqual, CodeOK)
+			So(s.Primary("orders").LastReady(), ShouldEqual, catalog.InstanceID("a"))
+		}
+		data, err := s.Snapshot()
+		So(err, ShouldBeNil)
+		s, err = Restore(data)
+		So(err, ShouldBeNil)
+		So(s.Primary("orders").LastReady(), ShouldEqual, catalog.InstanceID("a"))
+		s.Apply(Change{Ready: &PrimaryReady{Service: "orders", Epoch: 4, Term: 2}})
+		So(s.Primary("orders").LastReady(), ShouldEqual, catalog.InstanceID("b"))
+		So(s.Primary("orders").Former, ShouldBeEmpty)
+	})
+}
